--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+# VENV may name an existing environment, for example from a
+# second work tree.
+VENV ?= .venv
+SEED ?= 1
+MINUTES ?= 3
+PACKAGES = model records telemetry store peers backend placement admission \
+	routing ownership front daemon cli standins bench
+empty :=
+space := $(empty) $(empty)
+SOURCES = $(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src)
+export VENV
+export PYTHONPATH = $(subst $(space),:,$(SOURCES)):$(CURDIR)/tools
+export PYTHONDONTWRITEBYTECODE = 1
+PY = $(VENV)/bin/python
+
+.PHONY: env format check test demo bench soak clean
+
+env:
+	@tools/env.sh
+
+format: env
+	$(VENV)/bin/pyink -q packages tools
+
+check: env
+	$(VENV)/bin/pyink -q --check packages tools
+	$(PY) tools/check_imports.py
+	$(PY) -m pylint --score=n packages tools
+
+test: check
+	$(PY) tools/run_tests.py
+
+demo: env
+	$(PY) -m waxwinglever_bench.main demo
+
+bench: env
+	$(PY) -m waxwinglever_bench.main bench --output build/bench.json
+
+soak: env
+	$(PY) -m waxwinglever_bench.main soak --seed $(SEED) --minutes $(MINUTES)
+
+clean:
+	rm -rf build $(VENV)
--- /dev/null
+++ b/packages/admission/src/waxwinglever_admission/__init__.py
@@ -0,0 +1,1 @@
+"""The gate in front of a backend server."""
--- /dev/null
+++ b/packages/backend/src/waxwinglever_backend/__init__.py
@@ -0,0 +1,1 @@
+"""Client for the backend server beside the daemon."""
--- /dev/null
+++ b/packages/bench/src/waxwinglever_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load tool, experiments, soak runs and reports."""
--- /dev/null
+++ b/packages/cli/src/waxwinglever_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command-line tool."""
--- /dev/null
+++ b/packages/daemon/src/waxwinglever_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: settings, assembly and signals."""
--- /dev/null
+++ b/packages/front/src/waxwinglever_front/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP application for callers and operators."""
--- /dev/null
+++ b/packages/model/src/waxwinglever_model/clock.py
@@ -0,0 +1,13 @@
+"""The clock that all leases and deadlines use."""
+
+import time
+
+
+def boottime_s() -> float:
+    """Returns seconds of CLOCK_BOOTTIME, which goes on during a suspend."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def boottime_ns() -> int:
+    """Returns nanoseconds of CLOCK_BOOTTIME."""
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME)
--- /dev/null
+++ b/packages/model/src/waxwinglever_model/limits.py
@@ -0,0 +1,31 @@
+"""Time limits and bounds that all packages share."""
+
+HEARTBEAT_INTERVAL_S = 0.3
+LEASE_S = 1.5
+# Each clock may drift by 1%; a wait on one clock that must outlast a lease
+# counted on another is longer by both drifts.
+DRIFT_FACTOR = 1.02
+LEASE_WAIT_S = LEASE_S * DRIFT_FACTOR
+ELECTION_SILENCE_S = 0.9
+ELECTION_STAGGER_S = 0.02
+ELECTION_STAGGER_MAX_S = 0.2
+ELECTION_JITTER_S = 0.1
+# Shorter than the lease that a store call protects.
+STORE_TIMEOUT_S = 0.5
+PEER_TIMEOUT_S = 0.25
+# A planned handover renews the old lease for this long at most.
+HANDOVER_S = 2.0
+
+MAX_BODY_BYTES = 4 * 1024 * 1024
+MAX_HEADER_BYTES = 16 * 1024
+MAX_RECORD_BYTES = 1_000_000
+MAX_MESSAGE_BYTES = 2_000_000
+MAX_SLICES = 4096
+MAX_MEMBERS = 128
+INITIAL_SLICES = 64
+MAX_HOPS = 2
+
+DEFAULT_TIMEOUT_MS = 2_000
+MAX_TIMEOUT_MS = 60_000
+TICKET_PERIOD_S = 300.0
+BACKEND_ABSENCE_S = 2.0
--- /dev/null
+++ b/packages/ownership/src/waxwinglever_ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Leases, terms, elections and moves of slices."""
--- /dev/null
+++ b/packages/placement/src/waxwinglever_placement/__init__.py
@@ -0,0 +1,1 @@
+"""Assignment of slices to nodes."""
--- /dev/null
+++ b/packages/records/src/waxwinglever_records/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration records: schema versions, validation, generations."""
--- /dev/null
+++ b/packages/routing/src/waxwinglever_routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of the node for a request, retries and hedging."""
--- /dev/null
+++ b/packages/store/src/waxwinglever_store/__init__.py
@@ -0,0 +1,1 @@
+"""Client for the platform's key-value store."""
--- /dev/null
+++ b/packages/telemetry/src/waxwinglever_telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""JSON-line logs and metrics."""
--- /dev/null
+++ b/tools/check_imports.py
@@ -0,0 +1,97 @@
+"""Checks the order of packages and that modules, not names, are imported."""
+
+import ast
+import pathlib
+import sys
+
+# A package may import packages of its own layer that stand to its left and
+# packages of the layers above.
+LAYERS = (
+    ("model",),
+    ("records", "telemetry"),
+    ("store", "peers", "backend"),
+    ("placement", "admission", "routing"),
+    ("ownership",),
+    ("front",),
+    ("daemon", "cli"),
+    ("standins", "bench"),
+)
+ORDER = tuple(name for layer in LAYERS for name in layer)
+# The last layer is for tests only, so the order keeps products away from it,
+# but contract tests run the real client against a stand-in (see check_source).
+PREFIX = "waxwinglever_"
+
+
+def imported_packages(tree: ast.AST) -> list[tuple[int, str]]:
+    """Returns line and package of each import of a workspace package."""
+    found = []
+    for node in ast.walk(tree):
+        if isinstance(node, ast.Import):
+            names = [alias.name for alias in node.names]
+        elif isinstance(node, ast.ImportFrom) and node.module:
+            names = [node.module]
+        else:
+            continue
+        for name in names:
+            if name.startswith(PREFIX):
+                package = name.split(".")[0].removeprefix(PREFIX)
+                found.append((node.lineno, package))
+    return found
+
+
+def name_imports(tree: ast.AST, roots: list[pathlib.Path]) -> list[int]:
+    """Returns the lines that import a name out of a workspace module."""
+    lines = []
+    for node in ast.walk(tree):
+        if not isinstance(node, ast.ImportFrom) or not node.module:
+            continue
+        if not node.module.startswith(PREFIX):
+            continue
+        folder = pathlib.Path(*node.module.split("."))
+        for alias in node.names:
+            if not any(
+                (root / folder / f"{alias.name}.py").exists() for root in roots
+            ):
+                lines.append(node.lineno)
+    return lines
+
+
+def check_source(
+    package: str,
+    path: pathlib.Path,
+    roots: list[pathlib.Path],
+    is_test: bool,
+) -> list[str]:
+    """Returns the findings of one file, one line each."""
+    findings = []
+    tree = ast.parse(path.read_text(encoding="utf-8"), str(path))
+    for line, other in imported_packages(tree):
+        if other == package or (is_test and other == "standins"):
+            continue
+        if other not in ORDER:
+            findings.append(
+                f"{path}:{line}: package {other!r} is unknown; add it to LAYERS"
+            )
+        elif ORDER.index(other) > ORDER.index(package):
+            findings.append(
+                f"{path}:{line}: package {package!r} must not import {other!r}"
+            )
+    for line in name_imports(tree, roots):
+        findings.append(f"{path}:{line}: import the module, not the name")
+    return findings
+
+
+def main() -> int:
+    top = pathlib.Path(__file__).resolve().parent.parent
+    roots = sorted(top.glob("packages/*/src"))
+    findings = []
+    for folder in sorted(top.glob("packages/*")):
+        for path in sorted(folder.rglob("*.py")):
+            is_test = "tests" in path.relative_to(folder).parts
+            findings += check_source(folder.name, path, roots, is_test)
+    print("\n".join(findings) or "imports: in order")
+    return 1 if findings else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
