--- /dev/null
+++ b/packages/daemon/src/waxwinglever_daemon/assembly.py
@@ -0,0 +1,272 @@
+"""Puts the parts of a daemon together."""
+
+import threading
+
+import attrs
+
+from waxwinglever_admission import gate
+from waxwinglever_admission import outcomes
+from waxwinglever_backend import http as backend_http
+from waxwinglever_daemon import faults
+from waxwinglever_daemon import settings as settings_module
+from waxwinglever_front import announcements
+from waxwinglever_front import crashes
+from waxwinglever_front import forward
+from waxwinglever_front import site as sites
+from waxwinglever_front import status
+from waxwinglever_model import cells
+from waxwinglever_model import exceptions
+from waxwinglever_model import identifiers
+from waxwinglever_ownership import configs
+from waxwinglever_ownership import directory
+from waxwinglever_ownership import node as ownership_node
+from waxwinglever_peers import links
+from waxwinglever_peers import messages
+from waxwinglever_routing import hotkeys
+from waxwinglever_store import calls as store_calls
+from waxwinglever_store import http as store_http
+from waxwinglever_telemetry import logs
+from waxwinglever_telemetry import metrics
+
+QUEUE_LIMIT = 200
+WATCH_INTERVAL_S = 0.25
+# Until a configuration names the service, a new server gets this little.
+DEFAULT_COLD_SLOTS = 2
+DEFAULT_COLD_S = 10.0
+
+
+@attrs.define(eq=False)
+class Daemon:
+    """The parts of one daemon.
+
+    Attributes:
+      settings: Its settings.
+      site: The request path.
+      store: Calls to the store.
+      cuts: Links cut by fault injection.
+      server: The listening side of the links between daemons.
+      watcher: Thread that watches the backend server.
+      stopping: Set when the daemon stops.
+    """
+
+    settings: settings_module.Settings
+    site: sites.Site
+    store: store_calls.StoreCalls
+    cuts: faults.Cuts
+    server: links.PeerServer | None = None
+    watcher: threading.Thread | None = None
+    lock: threading.Lock = attrs.Factory(threading.Lock)
+
+
+def assemble(settings: settings_module.Settings) -> Daemon:
+    """Returns a daemon that listens to other daemons.
+
+    Raises:
+      InvalidInput: The peer address can't be bound.
+    """
+    cuts = faults.Cuts()
+    host = settings.http_address.rpartition(":")[0]
+    log = logs.logger()
+    site = sites.Site(
+        me=cells.Member(
+            node=settings.node,
+            incarnation=identifiers.new_id(),
+            peer_address=settings.peer_address,
+            http_address=settings.http_address,
+            zone=settings.zone,
+        ),
+        book=configs.ConfigBook(),
+        lines=directory.Directory(),
+        peers=faults.cut_calls(links.pynng_calls(), cuts),
+        forward=faults.cut_forward(forward.http_forward(host), cuts),
+        metrics=metrics.Metrics(),
+        log=log.info,
+    )
+    daemon = Daemon(
+        settings=settings,
+        site=site,
+        store=store_http.http_store(
+            settings.store_address, source_address=host
+        ),
+        cuts=cuts,
+    )
+    daemon.server = links.serve(
+        settings.peer_address,
+        lambda message: handle(daemon, message),
+        lambda error: log.warning("message-refused", error=str(error)),
+    )
+    daemon.watcher = threading.Thread(
+        target=watch_backend, args=(daemon,), name="backend-watch", daemon=True
+    )
+    daemon.watcher.start()
+    return daemon
+
+
+def handle(daemon: Daemon, message: messages.Message) -> messages.Message:
+    """Returns the answer to a message of another daemon."""
+    node = daemon.site.node
+    if node is None:
+        raise exceptions.InvalidInput(
+            f"node {daemon.settings.node} is in no cell yet",
+            "wait until its backend server has announced itself",
+        )
+    return ownership_node.handle(node, message)
+
+
+def take_announcement(
+    daemon: Daemon, announcement: announcements.Announcement
+) -> None:
+    """Connects to the backend server and joins the cell of its service.
+
+    Raises:
+      InvalidInput: The server is of another service than the one before.
+    """
+    site = daemon.site
+    with daemon.lock:
+        if site.node is None:
+            site.node = join_cell(daemon, announcement)
+        elif (site.node.tenant, site.node.service) != (
+            announcement.tenant,
+            announcement.service,
+        ):
+            raise exceptions.InvalidInput(
+                f"this daemon serves {site.node.tenant}/{site.node.service}",
+                "restart the daemon before its VM gets another service",
+            )
+        local = site.local
+        if local is None or local.address != announcement.address:
+            local = site.local = connect(daemon, announcement)
+        local.heard_s = site.now()
+        local.state = announcement.state
+        local.checks_fences = announcement.checks_fences
+    gate.saw_boot(local.gate, announcement.boot_id)
+
+
+def join_cell(
+    daemon: Daemon, announcement: announcements.Announcement
+) -> ownership_node.CellNode:
+    """Starts this daemon's part in the cell of the service."""
+    site = daemon.site
+    around = ownership_node.Surroundings(
+        store=daemon.store,
+        peers=site.peers,
+        log=site.log,
+        loads=lambda: slice_loads(site),
+        on_crash_report=lambda report: crashes.learn(site, report),
+    )
+    node = ownership_node.new_node(
+        announcement.tenant,
+        announcement.service,
+        site.me,
+        around,
+        site.book,
+        site.lines,
+    )
+    ownership_node.start(node)
+    site.log(
+        "backend-announced",
+        tenant=announcement.tenant,
+        service=announcement.service,
+        address=announcement.address,
+        checks_fences=announcement.checks_fences,
+    )
+    return node
+
+
+def slice_loads(site: sites.Site) -> tuple[messages.SliceLoad, ...]:
+    """Returns the loads of the slices that this node owns."""
+    node = site.node
+    if node is None:
+        return ()
+    with node.state.lock:
+        items = [lease.item for lease in node.state.held.values()]
+    return hotkeys.slice_loads(site.heat, items, site.now())
+
+
+def connect(
+    daemon: Daemon, announcement: announcements.Announcement
+) -> sites.Local:
+    """Returns the gate and the calls for a backend server."""
+    site = daemon.site
+    service = configs.service_of(
+        site.book, announcement.tenant, announcement.service
+    )
+    weights = {}
+    cold_slots, cold_s = DEFAULT_COLD_SLOTS, DEFAULT_COLD_S
+    if service is not None:
+        weights = {item.name: item.weight for item in service.classes}
+        cold_slots = service.cold_start.initial_slots
+        cold_s = service.cold_start.seconds
+    policy = gate.Policy(
+        slots=announcement.slots,
+        queue_limit=QUEUE_LIMIT,
+        cold_start_slots=min(cold_slots, announcement.slots),
+        cold_start_s=cold_s,
+        weights=weights,
+    )
+    return sites.Local(
+        address=announcement.address,
+        calls=backend_http.http_backend(
+            announcement.address, connections=announcement.connections
+        ),
+        gate=gate.Gate(policy, site.now),
+        outcomes=outcomes.Outcomes(site.me.incarnation, site.now),
+        heard_s=site.now(),
+        state=announcement.state,
+        checks_fences=announcement.checks_fences,
+    )
+
+
+def watch_backend(daemon: Daemon) -> None:
+    """Hands the slices back while the backend server is absent or frozen."""
+    site = daemon.site
+    while not site.stopping.wait(WATCH_INTERVAL_S):
+        node = site.node
+        if node is None:
+            continue
+        is_gone = not status.is_present(site) or is_frozen(site)
+        with node.state.lock:
+            should_drain = is_gone or node.leaving
+            if node.state.draining == should_drain:
+                continue
+            node.state.draining = should_drain
+        site.log("draining-changed", draining=should_drain, backend=not is_gone)
+
+
+def is_frozen(site: sites.Site) -> bool:
+    """Returns whether the server answers neither requests nor health checks."""
+    local = site.local
+    if local.timeouts < sites.FROZEN_AFTER_TIMEOUTS:
+        return False
+    try:
+        local.calls.health()
+    except exceptions.WaxwingleverError:
+        return True
+    local.timeouts = 0
+    return False
+
+
+def drain(daemon: Daemon) -> bool:
+    """Hands back all slices and leaves the cell; requests in flight finish.
+
+    Returns:
+      Whether this node left the record in time.
+    """
+    site = daemon.site
+    site.closing = True
+    if site.node is None:
+        return True
+    return ownership_node.leave(site.node, daemon.settings.drain_timeout_s)
+
+
+def close(daemon: Daemon) -> None:
+    """Stops the threads and closes the links."""
+    site = daemon.site
+    site.stopping.set()
+    if site.node is not None:
+        ownership_node.stop(site.node)
+    daemon.watcher.join()
+    daemon.server.close()
+    site.peers.close()
+    daemon.store.close()
+    site.hedgers.shutdown(wait=False, cancel_futures=True)
--- /dev/null
+++ b/packages/daemon/src/waxwinglever_daemon/main.py
@@ -0,0 +1,139 @@
+"""The program `waxwingleverd`."""
+
+import logging
+import signal
+import sys
+import threading
+
+import cherrypy
+import click
+
+from waxwinglever_daemon import assembly
+from waxwinglever_daemon import fault_pages
+from waxwinglever_daemon import settings as settings_module
+from waxwinglever_front import application
+from waxwinglever_front import pages
+from waxwinglever_model import exceptions
+from waxwinglever_model import limits
+from waxwinglever_telemetry import logs
+
+EXIT_BAD_SETTINGS = 2
+EXIT_FORCED = 3
+# Idle links of other daemons stay open for this long.
+KEEP_ALIVE_S = 60
+# How long the server lets connections finish after the drain.
+SHUTDOWN_S = 5
+
+
+@click.command()
+@click.option(
+    "--settings",
+    "settings_path",
+    required=True,
+    type=click.Path(dir_okay=False),
+    help="JSON file with the daemon's settings.",
+)
+@click.option(
+    "--check", is_flag=True, help="Check the settings, print them and exit."
+)
+def main(settings_path: str, check: bool) -> None:
+    """Runs the daemon beside one backend server.
+
+    SIGTERM drains: the daemon hands back its keys, finishes the requests in
+    flight and exits 0. A second SIGTERM stops it at once with exit code 3.
+    Exit code 2 means that the settings are wrong.
+    """
+    try:
+        settings = settings_module.load(settings_path)
+    except exceptions.InvalidInput as error:
+        click.echo(f"waxwingleverd: {error}", err=True)
+        sys.exit(EXIT_BAD_SETTINGS)
+    if check:
+        click.echo(f"settings of node {settings.node} are valid")
+        return
+    logs.configure(sys.stdout, settings.node)
+    try:
+        daemon = assembly.assemble(settings)
+    except exceptions.InvalidInput as error:
+        click.echo(f"waxwingleverd: {error}", err=True)
+        sys.exit(EXIT_BAD_SETTINGS)
+    sys.exit(run(daemon))
+
+
+def run(daemon: assembly.Daemon) -> int:
+    """Serves until SIGTERM or SIGINT, drains, and returns the exit code."""
+    asked = threading.Event()
+    forced = threading.Event()
+
+    def on_signal(*_) -> None:
+        (forced if asked.is_set() else asked).set()
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, on_signal)
+    start_http(daemon)
+    daemon.site.log("daemon-started", zone=daemon.settings.zone)
+    # engine.block() polls; the event is set by the signal handler.
+    asked.wait()
+    drained = drain_unless_forced(daemon, forced)
+    if not drained and forced.is_set():
+        daemon.site.log("daemon-stopped", reason="second signal")
+        return EXIT_FORCED
+    cherrypy.engine.exit()
+    assembly.close(daemon)
+    daemon.site.log("daemon-stopped", reason="drained", left_cell=drained)
+    return 0
+
+
+def drain_unless_forced(
+    daemon: assembly.Daemon, forced: threading.Event
+) -> bool:
+    """Drains in a thread of its own, until done or a second signal."""
+    result: list[bool] = []
+    done = threading.Event()
+
+    def work() -> None:
+        result.append(assembly.drain(daemon))
+        done.set()
+
+    thread = threading.Thread(target=work, name="drain", daemon=True)
+    thread.start()
+    while not done.wait(0.1):
+        if forced.is_set():
+            return False
+    return result[0]
+
+
+def start_http(daemon: assembly.Daemon) -> None:
+    """Starts CherryPy's engine with the pages and the callers' application."""
+    settings = daemon.settings
+    host, _, port = settings.http_address.rpartition(":")
+    logging.getLogger("cherrypy").setLevel(logging.WARNING)
+    cherrypy.config.update(
+        {
+            "environment": "production",
+            "engine.autoreload.on": False,
+            "log.screen": False,
+            "server.socket_host": host.strip("[]"),
+            "server.socket_port": int(port),
+            "server.thread_pool": settings.http_threads,
+            "server.socket_queue_size": 128,
+            "server.socket_timeout": KEEP_ALIVE_S,
+            "server.shutdown_timeout": SHUTDOWN_S,
+            "server.max_request_body_size": limits.MAX_BODY_BYTES,
+            "server.max_request_header_size": limits.MAX_HEADER_BYTES,
+            "tools.log_headers.on": False,
+        }
+    )
+    root = pages.Pages(
+        daemon.site,
+        lambda announcement: assembly.take_announcement(daemon, announcement),
+    )
+    cherrypy.tree.mount(root, "/")
+    if settings.fault_injection:
+        cherrypy.tree.mount(fault_pages.FaultPages(daemon.cuts), "/faults")
+    cherrypy.tree.graft(application.make_application(daemon.site), "/s")
+    cherrypy.engine.start()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/front/src/waxwinglever_front/application.py
@@ -0,0 +1,84 @@
+"""The WSGI application for callers; grafted into CherryPy at /s."""
+
+import http
+import json
+from collections.abc import Callable
+
+from waxwinglever_front import exchange
+from waxwinglever_front import router
+from waxwinglever_front import site as sites
+from waxwinglever_front import wire
+from waxwinglever_model import exceptions
+from waxwinglever_model import limits
+from waxwinglever_ownership import configs
+
+
+def make_application(site: sites.Site) -> Callable:
+    """Returns a WSGI application that serves callers and other daemons."""
+
+    def timeout_ms(tenant: str, service: str) -> int:
+        item = configs.service_of(site.book, tenant, service)
+        return item.timeout_ms if item else limits.DEFAULT_TIMEOUT_MS
+
+    def application(environ: dict, start_response: Callable):
+        began = site.now()
+        request = None
+        try:
+            request = wire.parse_request(environ, timeout_ms)
+            reply = router.route(site, request)
+        except exceptions.Refusal as error:
+            reply = wire.refusal_reply(error)
+        except Exception as error:  # pylint: disable=broad-exception-caught
+            site.log("request-failed", error=repr(error))
+            reply = failure_reply(error)
+        observe(site, request, reply, site.now() - began)
+        status = f"{reply.status} {phrase(reply.status)}"
+        start_response(status, wire.reply_headers(reply))
+        return [reply.body]
+
+    return application
+
+
+def failure_reply(error: Exception) -> exchange.Reply:
+    """Returns the reply to an error that the daemon did not expect."""
+    body = {
+        "kind": "internal",
+        "message": f"the daemon failed: {type(error).__name__}",
+        "remedy": "check whether the request took effect; report the log line",
+    }
+    return exchange.Reply(
+        status=500,
+        headers=(("Content-Type", "application/json"),),
+        body=json.dumps(body).encode("utf-8"),
+        outcome="unknown",
+    )
+
+
+def observe(
+    site: sites.Site,
+    request: exchange.Request | None,
+    reply: exchange.Reply,
+    seconds: float,
+) -> None:
+    """Counts the request in the histogram of its tenant and class."""
+    if request is None:
+        site.metrics.count("requests_malformed_total", {})
+        return
+    if request.hops:
+        # The first daemon counts the request.
+        return
+    site.metrics.observe_request(
+        request.tenant,
+        request.service,
+        request.request_class,
+        reply.outcome,
+        seconds,
+    )
+
+
+def phrase(status: int) -> str:
+    """Returns the reason phrase of a status code."""
+    try:
+        return http.HTTPStatus(status).phrase
+    except ValueError:
+        return "Unknown"
--- /dev/null
+++ b/packages/front/src/waxwinglever_front/dispatch.py
@@ -0,0 +1,237 @@
+"""Runs a request on the backend server beside this daemon."""
+
+import attrs
+
+from waxwinglever_admission import gate
+from waxwinglever_admission import outcomes
+from waxwinglever_admission import tickets
+from waxwinglever_backend import calls as backend_calls
+from waxwinglever_front import crashes
+from waxwinglever_front import exchange
+from waxwinglever_front import site as sites
+from waxwinglever_model import exceptions
+from waxwinglever_model import identifiers
+from waxwinglever_ownership import configs
+from waxwinglever_ownership import membership
+from waxwinglever_routing import hotkeys
+
+# Epoch in tickets of a service that is not divided by key.
+NO_EPOCH = 0
+
+
+def serve(
+    site: sites.Site, request: exchange.Request, is_keyed: bool
+) -> exchange.Reply:
+    """Runs a request here, at most once if it has an id.
+
+    Raises:
+      Refusal: The request did not run here, or its outcome is unknown.
+    """
+    local = site.local
+    if local is None or not sites.is_own_service(
+        site, request.tenant, request.service
+    ):
+        raise exceptions.BackendUnavailable(
+            f"node {site.me.node} has no backend server of this service",
+            "send the request to another daemon",
+            retry_after_ms=1000,
+        )
+    if request.request_id is None or request.is_safe:
+        return run(site, local, request, is_keyed, None)
+    ticket = valid_ticket(site, local, request, is_keyed)
+    start = outcomes.begin(
+        local.outcomes, ticket, request.request_id, request.deadline_s
+    )
+    if isinstance(start, outcomes.Replay):
+        return start.answer
+    try:
+        reply = run(site, local, request, is_keyed, ticket)
+    except exceptions.OutcomeUnknown:
+        outcomes.lose(local.outcomes, ticket, request.request_id)
+        raise
+    except exceptions.Refusal:
+        outcomes.abandon(local.outcomes, ticket, request.request_id)
+        raise
+    except BaseException:
+        outcomes.lose(local.outcomes, ticket, request.request_id)
+        raise
+    reply = attrs.evolve(reply, ticket=tickets.format_ticket(ticket))
+    outcomes.finish(local.outcomes, ticket, request.request_id, reply)
+    return reply
+
+
+def valid_ticket(
+    site: sites.Site,
+    local: sites.Local,
+    request: exchange.Request,
+    is_keyed: bool,
+) -> tickets.Ticket:
+    """Returns the request's ticket if it is valid here and now.
+
+    Raises:
+      NotOwner: This node holds no lease for the key.
+      TicketRequired: There is no ticket, or it is of another owner or time.
+    """
+    epoch = NO_EPOCH
+    state = site.node.state
+    if is_keyed:
+        epoch = membership.begin(state, request.point, site.now()).item.epoch
+        membership.finish(state, request.point)
+    if request.ticket is None:
+        raise ticket_required(site, local, epoch, "the request has no ticket")
+    ticket = tickets.parse_ticket(request.ticket)
+    current = outcomes.current_ticket(local.outcomes, state.cell, epoch)
+    if (ticket.cell, ticket.epoch, ticket.incarnation) != (
+        current.cell,
+        current.epoch,
+        current.incarnation,
+    ) or not outcomes.is_accepted(local.outcomes, ticket):
+        raise ticket_required(site, local, epoch, "the ticket is stale")
+    return ticket
+
+
+def ticket_required(
+    site: sites.Site, local: sites.Local, epoch: int, why: str
+) -> exceptions.TicketRequired:
+    """Returns the refusal that brings a ticket of this owner."""
+    current = outcomes.current_ticket(
+        local.outcomes, site.node.state.cell, epoch
+    )
+    return exceptions.TicketRequired(
+        why,
+        "send all tries with the ticket of this answer; if an earlier try got"
+        " no answer, its outcome is unknown",
+        tickets.format_ticket(current),
+    )
+
+
+def run(
+    site: sites.Site,
+    local: sites.Local,
+    request: exchange.Request,
+    is_keyed: bool,
+    ticket: tickets.Ticket | None,
+) -> exchange.Reply:
+    """Waits for a slot, checks the lease and sends the request.
+
+    Raises:
+      Refusal: The request did not run, or its outcome is unknown.
+    """
+    state = site.node.state
+    lease: membership.HeldLease | None = None
+
+    def check() -> None:
+        nonlocal lease
+        if not is_keyed:
+            check_not_leaving(site)
+            return
+        lease = membership.begin(state, request.point, site.now())
+        if ticket is not None and ticket.epoch != lease.item.epoch:
+            raise ticket_required(
+                site, local, lease.item.epoch, "the owner changed"
+            )
+
+    work = gate.Work(
+        request.request_class, request.deadline_s, exchange.fingerprint(request)
+    )
+    try:
+        with gate.admit(local.gate, work, check):
+            if is_keyed:
+                hotkeys.record(site.heat, request.point, site.now())
+            answer = send(site, local, request, lease)
+    finally:
+        if lease is not None:
+            membership.finish(state, request.point)
+    return exchange.Reply(answer.status, answer.headers, answer.body)
+
+
+def check_not_leaving(site: sites.Site) -> None:
+    """Refuses work for a service without keys while the node is leaving.
+
+    Raises:
+      Draining: The node, or its zone, takes no new work.
+    """
+    is_out = site.me.zone in configs.zones_out(site.book, site.node.tenant)
+    if is_out or site.closing:
+        raise exceptions.Draining(
+            f"node {site.me.node} takes no new work",
+            "send the request to another daemon",
+            retry_after_ms=1000,
+        )
+
+
+def send(
+    site: sites.Site,
+    local: sites.Local,
+    request: exchange.Request,
+    lease: membership.HeldLease | None,
+) -> backend_calls.Answer:
+    """Sends an admitted request to the backend server.
+
+    The order ends with the lease, so that no work outlives it (R12).
+
+    Raises:
+      Refusal: The server did not run it, or its outcome is unknown.
+    """
+    end_s = request.deadline_s
+    fence = None
+    if lease is not None:
+        end_s = min(end_s, lease.until)
+        fence = backend_calls.Fence(
+            lease.item.start, lease.item.epoch, int(lease.until * 1e9)
+        )
+    timeout_ms = int((end_s - site.now()) * 1000)
+    if timeout_ms < 1:
+        raise exceptions.Overloaded(
+            "the time for this request is over",
+            "send it again with a longer timeout",
+            retry_after_ms=0,
+        )
+    order = backend_calls.Order(
+        call_id=identifiers.new_id(),
+        method=request.method,
+        path=request.path,
+        headers=order_headers(request),
+        body=request.body,
+        timeout_ms=timeout_ms,
+        fence=fence,
+    )
+    try:
+        answer = local.calls.send(order)
+    except backend_calls.BrokenAnswer as error:
+        note_broken(site, local, order, error)
+        raise
+    except exceptions.BackendUnavailable:
+        gate.saw_unreachable(local.gate)
+        raise
+    local.timeouts = 0
+    gate.saw_boot(local.gate, answer.boot_id)
+    return answer
+
+
+def order_headers(
+    request: exchange.Request,
+) -> tuple[tuple[str, str], ...]:
+    """Returns the headers for the backend server."""
+    headers = list(request.headers)
+    if request.key is not None:
+        headers.append(("Waxwinglever-Key", request.key))
+    if request.request_id is not None:
+        headers.append(("Waxwinglever-Request-Id", request.request_id))
+    return tuple(headers)
+
+
+def note_broken(
+    site: sites.Site,
+    local: sites.Local,
+    order: backend_calls.Order,
+    error: backend_calls.BrokenAnswer,
+) -> None:
+    """Draws the conclusions from an answer that did not come."""
+    if error.crashed:
+        crashes.report(site, gate.saw_crash(local.gate))
+        return
+    local.timeouts += 1
+    if local.timeouts == sites.FROZEN_AFTER_TIMEOUTS:
+        site.log("backend-frozen", timeouts=local.timeouts)
+    local.calls.cancel(order.call_id)
--- /dev/null
+++ b/packages/front/src/waxwinglever_front/exchange.py
@@ -0,0 +1,91 @@
+"""A caller's request and its reply, apart from how HTTP carries them."""
+
+import hashlib
+
+import attrs
+
+from waxwinglever_model import hashing
+
+# Methods that RFC 9110 calls safe. PUT and DELETE are left out: tenants'
+# services need not make them idempotent.
+SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+
+RAN = "ran"
+
+
+@attrs.frozen
+class Request:
+    """One try of a caller's request.
+
+    Attributes:
+      tenant: Name of the tenant.
+      service: Name of the service.
+      method: HTTP method.
+      path: Path and query below the service, for the backend server.
+      headers: End-to-end headers for the backend server.
+      body: The whole body.
+      key: Key, or None for a service that is not divided by key.
+      request_class: Class for shares and histograms.
+      deadline_s: When the caller gives up, in seconds of clock.boottime_s.
+      request_id: Id that all tries of the request share, or None.
+      ticket: Ticket text, or None.
+      hops: How many daemons forwarded the request.
+    """
+
+    tenant: str
+    service: str
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    key: str | None
+    request_class: str
+    deadline_s: float
+    request_id: str | None = None
+    ticket: str | None = None
+    hops: int = 0
+
+    @property
+    def is_safe(self) -> bool:
+        """Whether the request may run more than once."""
+        return self.method in SAFE_METHODS
+
+    @property
+    def point(self) -> int:
+        """Point of the key in the hash space."""
+        return hashing.point(self.service, self.key or "")
+
+
+@attrs.frozen
+class Reply:
+    """What the caller gets.
+
+    Attributes:
+      status: HTTP status code.
+      headers: End-to-end headers.
+      body: The whole body.
+      outcome: `ran`, `not-run`, `unknown` or `refused`.
+      owner: http address for the next request, or ''.
+      map_version: Version of the map that named the owner.
+      ticket: Ticket for the next request with an id, or ''.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    outcome: str = RAN
+    owner: str = ""
+    map_version: int = 0
+    ticket: str = ""
+
+
+def fingerprint(request: Request) -> str:
+    """Returns what identifies a request that is sent again."""
+    if request.request_id is not None:
+        return f"id:{request.request_id}"
+    digest = hashlib.blake2b(digest_size=16)
+    for part in (request.method, request.path, request.key or ""):
+        digest.update(part.encode("utf-8", "surrogatepass"))
+        digest.update(b"\0")
+    digest.update(request.body)
+    return f"body:{digest.hexdigest()}"
--- /dev/null
+++ b/packages/front/src/waxwinglever_front/site.py
@@ -0,0 +1,132 @@
+"""What the request path of one daemon shares between its threads."""
+
+import threading
+from collections.abc import Callable
+from concurrent import futures
+
+import attrs
+
+from waxwinglever_admission import gate
+from waxwinglever_admission import outcomes
+from waxwinglever_backend import calls as backend_calls
+from waxwinglever_front import exchange
+from waxwinglever_model import cells
+from waxwinglever_model import clock
+from waxwinglever_ownership import configs
+from waxwinglever_ownership import directory
+from waxwinglever_ownership import node as ownership_node
+from waxwinglever_peers import links
+from waxwinglever_routing import balancer
+from waxwinglever_routing import budgets
+from waxwinglever_routing import hotkeys
+from waxwinglever_routing import maps
+from waxwinglever_telemetry import metrics
+
+RETRY_RATIO = 0.1
+RETRY_BURST = 10
+HEDGE_RATIO = 0.05
+HEDGE_BURST = 5
+# Timeouts in a row after which the backend server counts as frozen.
+FROZEN_AFTER_TIMEOUTS = 3
+# Requests of one daemon that wait for a slice under handover.
+MAX_HELD = 200
+HEDGE_THREADS = 16
+
+
+@attrs.define(eq=False)
+class Local:
+    """The backend server beside this daemon.
+
+    Attributes:
+      address: host:port of the backend server.
+      calls: Calls to it.
+      gate: The only place of admission to it.
+      outcomes: Outcomes of non-idempotent requests with an id.
+      heard_s: When it last announced itself, in seconds.
+      state: What it announced: `starting`, `ready` or `draining`.
+      timeouts: Requests in a row that ended without an answer.
+      checks_fences: Whether it announced that it checks fences.
+    """
+
+    address: str
+    calls: backend_calls.BackendCalls
+    gate: gate.Gate
+    outcomes: outcomes.Outcomes
+    heard_s: float
+    state: str
+    checks_fences: bool
+    timeouts: int = 0
+
+
+@attrs.define(eq=False)
+class Site:
+    """The state that the threads of the request path share.
+
+    Attributes:
+      me: This node as a member of its cell.
+      book: Configurations in force.
+      lines: Lines of the other cells.
+      peers: Calls to other daemons.
+      forward: Sends a request to the daemon at an http address.
+      metrics: Histograms and counters.
+      log: Called with an event name and fields.
+      node: This daemon's part in its cell, once its server announced itself.
+      local: The backend server beside this daemon, once announced.
+      cached: Records of other cells.
+      balancers: Choice of nodes, by cell, for services without keys.
+      retries: Budget of retries.
+      hedges: Budget of hedged requests.
+      hedgers: Threads that run hedged tries.
+      heat: Request rates and frequent keys of this node's slices.
+      held: Places for requests that wait for a slice under handover.
+      closing: Whether the daemon takes no new work for its backend server.
+      stopping: Set when the daemon's threads must end.
+      lock: Guards node, local and balancers.
+    """
+
+    me: cells.Member
+    book: configs.ConfigBook
+    lines: directory.Directory
+    peers: links.PeerCalls
+    forward: Callable[[str, exchange.Request], exchange.Reply]
+    metrics: metrics.Metrics
+    log: Callable[..., None]
+    now: Callable[[], float] = clock.boottime_s
+    node: ownership_node.CellNode | None = None
+    local: Local | None = None
+    cached: maps.MapCache = attrs.Factory(maps.MapCache)
+    balancers: dict[str, balancer.Balancer] = attrs.Factory(dict)
+    retries: budgets.Budget = attrs.Factory(
+        lambda: budgets.Budget(RETRY_RATIO, RETRY_BURST)
+    )
+    hedges: budgets.Budget = attrs.Factory(
+        lambda: budgets.Budget(HEDGE_RATIO, HEDGE_BURST)
+    )
+    hedgers: futures.ThreadPoolExecutor = attrs.Factory(
+        lambda: futures.ThreadPoolExecutor(HEDGE_THREADS, "hedge")
+    )
+    heat: hotkeys.Heat = attrs.Factory(hotkeys.Heat)
+    held: threading.BoundedSemaphore = attrs.Factory(
+        lambda: threading.BoundedSemaphore(MAX_HELD)
+    )
+    closing: bool = False
+    stopping: threading.Event = attrs.Factory(threading.Event)
+    lock: threading.Lock = attrs.Factory(threading.Lock)
+
+
+def is_own_service(site: Site, tenant: str, service: str) -> bool:
+    """Returns whether this node is in the cell of the service."""
+    node = site.node
+    return node is not None and (node.tenant, node.service) == (
+        tenant,
+        service,
+    )
+
+
+def balancer_for(site: Site, cell: str) -> balancer.Balancer:
+    """Returns the balancer of a cell."""
+    with site.lock:
+        found = site.balancers.get(cell)
+        if found is None:
+            found = site.balancers[cell] = balancer.Balancer()
+        return found
--- /dev/null
+++ b/packages/front/src/waxwinglever_front/targets.py
@@ -0,0 +1,121 @@
+"""Finds the nodes that may run a request."""
+
+import attrs
+
+from waxwinglever_admission import tickets
+from waxwinglever_front import exchange
+from waxwinglever_front import site as sites
+from waxwinglever_model import cells
+from waxwinglever_model import exceptions
+from waxwinglever_model import limits
+from waxwinglever_ownership import configs
+from waxwinglever_ownership import directory
+from waxwinglever_ownership import node as ownership_node
+from waxwinglever_peers import messages
+from waxwinglever_routing import maps
+
+
+@attrs.frozen
+class Target:
+    """A node that may run the request.
+
+    Attributes:
+      member: The node.
+      cell: Its cell.
+      version: Version of the record that named it.
+    """
+
+    member: cells.Member
+    cell: str
+    version: int
+
+
+def owner_of(site: sites.Site, request: exchange.Request) -> Target | None:
+    """Returns the owner of the request's key, as far as this node knows."""
+    for record, version in known_records(site, request):
+        item = record.slice_at(request.point)
+        if item is None:
+            continue
+        member = record.member(item.owner)
+        if member is not None:
+            return Target(member, record.cell, version)
+    return None
+
+
+def candidates(site: sites.Site, request: exchange.Request) -> list[Target]:
+    """Returns the nodes of a service without keys that may take new work.
+
+    A request with a ticket may only run on the node that gave it.
+    """
+    out = configs.zones_out(site.book, request.tenant)
+    found = [
+        Target(member, record.cell, version)
+        for record, version in known_records(site, request)
+        for member in record.members
+        if member.zone not in out and not member.draining
+    ]
+    if request.request_id is not None and request.ticket is not None:
+        incarnation = tickets.parse_ticket(request.ticket).incarnation
+        named = [t for t in found if t.member.incarnation == incarnation]
+        return named or found
+    return found
+
+
+def known_records(
+    site: sites.Site, request: exchange.Request
+) -> list[tuple[cells.CellRecord, int]]:
+    """Returns records and versions of the service's cells."""
+    node = site.node
+    if sites.is_own_service(site, request.tenant, request.service):
+        with node.state.lock:
+            if node.state.record is None:
+                return []
+            return [(node.state.record, node.state.version)]
+    found = []
+    for line in directory.cells_of(
+        site.lines, request.tenant, request.service
+    ):
+        known = maps.get(site.cached, line.cell)
+        if known is None or known[1] < line.version:
+            fetch(site, line)
+            known = maps.get(site.cached, line.cell)
+        if known is not None:
+            found.append(known)
+    return found
+
+
+def refresh(site: sites.Site, request: exchange.Request) -> None:
+    """Asks for newer records of the service's cells."""
+    if sites.is_own_service(site, request.tenant, request.service):
+        return
+    for line in directory.cells_of(
+        site.lines, request.tenant, request.service
+    ):
+        fetch(site, line)
+
+
+def fetch(site: sites.Site, line: cells.CellLine) -> None:
+    """Gets the record of another cell from one of its nodes."""
+    known = maps.get(site.cached, line.cell)
+    known_version = known[1] if known is not None else 0
+    addresses = [line.leader_address]
+    addresses += [member.peer_address for member in line.members]
+    request = messages.MapRequest(line.cell, known_version)
+    for address in dict.fromkeys(filter(None, addresses)):
+        try:
+            reply = site.peers.call(address, request, limits.PEER_TIMEOUT_S)
+        except exceptions.PeerUnavailable:
+            continue
+        if not isinstance(reply, messages.MapReply):
+            continue
+        if reply.record is not None:
+            maps.learn(site.cached, reply.record, reply.version)
+        return
+
+
+def cell_of(site: sites.Site, request: exchange.Request) -> str:
+    """Returns the name of the service's first cell."""
+    found = directory.cells_of(site.lines, request.tenant, request.service)
+    if found:
+        return found[0].cell
+    return ownership_node.cell_name(request.tenant, request.service)
--- /dev/null
+++ b/packages/front/src/waxwinglever_front/wire.py
@@ -0,0 +1,265 @@
+"""HTTP encoding of requests and replies, for callers and between daemons."""
+
+import json
+import math
+from collections.abc import Callable
+
+from waxwinglever_front import exchange
+from waxwinglever_model import clock
+from waxwinglever_model import exceptions
+from waxwinglever_model import identifiers
+from waxwinglever_model import limits
+
+PREFIX = "Waxwinglever-"
+KEY = "Waxwinglever-Key"
+TIMEOUT_MS = "Waxwinglever-Timeout-Ms"
+CLASS = "Waxwinglever-Class"
+REQUEST_ID = "Waxwinglever-Request-Id"
+TICKET = "Waxwinglever-Ticket"
+HOPS = "Waxwinglever-Hops"
+OUTCOME = "Waxwinglever-Outcome"
+OWNER = "Waxwinglever-Owner"
+MAP_VERSION = "Waxwinglever-Map-Version"
+REFUSAL = "Waxwinglever-Refusal"
+
+DEFAULT_CLASS = "default"
+MAX_KEY_CHARACTERS = 1024
+
+# Hop-by-hop headers of RFC 9110 and those that the client library sets.
+NOT_FORWARDED = frozenset(
+    {
+        "connection",
+        "content-length",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+def end_to_end(headers) -> tuple[tuple[str, str], ...]:
+    """Returns the headers that are passed on, without the project's own."""
+    return tuple(
+        (name, value)
+        for name, value in headers
+        if name.lower() not in NOT_FORWARDED
+        and not name.lower().startswith(PREFIX.lower())
+    )
+
+
+def parse_request(
+    environ: dict, timeout_ms: Callable[[str, str], int]
+) -> exchange.Request:
+    """Returns the request in a WSGI environment.
+
+    Args:
+      environ: The environment; PATH_INFO is `/<tenant>/<service>/<path>`.
+      timeout_ms: Returns the default timeout of a tenant's service.
+
+    Raises:
+      BadRequest: A header or the path is malformed.
+      TooLarge: The body is over the limit.
+    """
+    parts = environ.get("PATH_INFO", "").split("/", 3)
+    is_complete = len(parts) == 4 and not parts[0]
+    if not is_complete or not all(map(identifiers.is_name, parts[1:3])):
+        raise exceptions.BadRequest(
+            "the path names no tenant and service",
+            "send to /s/<tenant>/<service>/<path>",
+        )
+    _, tenant, service, _ = parts
+    headers = list(request_headers(environ))
+    given = {name.lower(): value for name, value in headers}
+    key = given.get(KEY.lower())
+    if key is not None and len(key) > MAX_KEY_CHARACTERS:
+        raise exceptions.BadRequest(
+            f"{KEY} has {len(key)} characters",
+            f"send at most {MAX_KEY_CHARACTERS}",
+        )
+    timeout = whole_number(
+        given, TIMEOUT_MS, timeout_ms(tenant, service), limits.MAX_TIMEOUT_MS
+    )
+    request_id = given.get(REQUEST_ID.lower())
+    if request_id is not None and not identifiers.is_request_id(request_id):
+        raise exceptions.BadRequest(
+            f"{REQUEST_ID} is malformed",
+            "send 1 to 128 letters, digits or ._:-",
+        )
+    return exchange.Request(
+        tenant=tenant,
+        service=service,
+        method=environ["REQUEST_METHOD"],
+        path=raw_path(environ),
+        headers=end_to_end(headers),
+        body=read_body(environ),
+        key=key,
+        request_class=given.get(CLASS.lower(), DEFAULT_CLASS),
+        deadline_s=clock.boottime_s() + timeout / 1000,
+        request_id=request_id,
+        ticket=given.get(TICKET.lower()),
+        hops=whole_number(given, HOPS, 0, limits.MAX_HOPS),
+    )
+
+
+def raw_path(environ: dict) -> str:
+    """Returns path and query below the service, still percent-encoded.
+
+    PATH_INFO is decoded, so a path built from it could name another resource.
+    """
+    prefix = environ.get("SCRIPT_NAME", "")
+    target = environ["REQUEST_URI"].removeprefix(prefix)
+    return "/" + target.split("/", 3)[3]
+
+
+def request_headers(environ: dict):
+    """Yields name and value of each header in a WSGI environment."""
+    for name, value in environ.items():
+        if name.startswith("HTTP_"):
+            yield name[5:].replace("_", "-").title(), value
+    if environ.get("CONTENT_TYPE"):
+        yield "Content-Type", environ["CONTENT_TYPE"]
+
+
+def whole_number(
+    given: dict[str, str], name: str, default: int, most: int
+) -> int:
+    """Returns a header as a whole number in [0, most].
+
+    Raises:
+      BadRequest: It is not such a number.
+    """
+    text = given.get(name.lower())
+    if text is None:
+        return default
+    if not (text.isascii() and text.isdigit() and int(text) <= most):
+        raise exceptions.BadRequest(
+            f"{name} is {text[:32]!r}",
+            f"send a whole number from 0 to {most}",
+        )
+    return int(text)
+
+
+def read_body(environ: dict) -> bytes:
+    """Returns the whole body.
+
+    Raises:
+      BadRequest: The body is shorter than its announced length.
+      TooLarge: It is over the limit.
+    """
+    stream = environ["wsgi.input"]
+    text = environ.get("CONTENT_LENGTH") or ""
+    if not text and "HTTP_TRANSFER_ENCODING" not in environ:
+        return b""
+    if text and not (text.isascii() and text.isdigit()):
+        raise exceptions.BadRequest(
+            "Content-Length is not a number", "send the length in bytes"
+        )
+    announced = int(text) if text else None
+    if announced is not None and announced > limits.MAX_BODY_BYTES:
+        raise too_large()
+    body = stream.read(
+        limits.MAX_BODY_BYTES + 1 if announced is None else announced
+    )
+    if len(body) > limits.MAX_BODY_BYTES:
+        raise too_large()
+    if announced is not None and len(body) < announced:
+        raise exceptions.BadRequest(
+            "the body ended early", "send as many bytes as announced"
+        )
+    return body
+
+
+def too_large() -> exceptions.TooLarge:
+    """Returns the error for a body over the limit."""
+    return exceptions.TooLarge(
+        "the body is over the limit",
+        f"send at most {limits.MAX_BODY_BYTES} bytes",
+    )
+
+
+def refusal_reply(
+    error: exceptions.Refusal, owner: str = "", map_version: int = 0
+) -> exchange.Reply:
+    """Returns the reply for a refusal: JSON with kind, message and remedy."""
+    body = {
+        "kind": error.kind,
+        "message": error.message,
+        "remedy": error.remedy,
+    }
+    headers = [("Content-Type", "application/json"), (REFUSAL, error.kind)]
+    if error.retry_after_ms is not None:
+        seconds = math.ceil(error.retry_after_ms / 1000)
+        headers.append(("Retry-After", str(seconds)))
+    return exchange.Reply(
+        status=error.status,
+        headers=tuple(headers),
+        body=json.dumps(body).encode("utf-8"),
+        outcome=error.outcome,
+        owner=owner,
+        map_version=map_version,
+        ticket=getattr(error, "ticket", ""),
+    )
+
+
+def reply_headers(reply: exchange.Reply) -> list[tuple[str, str]]:
+    """Returns the headers of a reply as they are sent."""
+    headers = [
+        *reply.headers,
+        ("Content-Length", str(len(reply.body))),
+        (OUTCOME, reply.outcome),
+        (OWNER, reply.owner),
+        (MAP_VERSION, str(reply.map_version)),
+    ]
+    if reply.ticket:
+        headers.append((TICKET, reply.ticket))
+    return headers
+
+
+def forwarded_headers(
+    request: exchange.Request, remaining_ms: int
+) -> list[tuple[str, str]]:
+    """Returns the headers of a request that goes to another daemon."""
+    headers = [
+        *request.headers,
+        (TIMEOUT_MS, str(remaining_ms)),
+        (CLASS, request.request_class),
+        (HOPS, str(request.hops + 1)),
+    ]
+    for name, value in (
+        (KEY, request.key),
+        (REQUEST_ID, request.request_id),
+        (TICKET, request.ticket),
+    ):
+        if value is not None:
+            headers.append((name, value))
+    return headers
+
+
+def parse_reply(status: int, headers, body: bytes) -> exchange.Reply:
+    """Returns the reply of another daemon."""
+    given = {name.lower(): value for name, value in headers}
+    kept = [
+        (name, value)
+        for name, value in headers
+        if name.lower() not in NOT_FORWARDED
+        and name.lower() not in ("server", "date")
+        and (
+            not name.lower().startswith(PREFIX.lower())
+            or name.lower() == REFUSAL.lower()
+        )
+    ]
+    version = given.get(MAP_VERSION.lower(), "0")
+    return exchange.Reply(
+        status=status,
+        headers=tuple(kept),
+        body=body,
+        outcome=given.get(OUTCOME.lower(), "unknown"),
+        owner=given.get(OWNER.lower(), ""),
+        map_version=int(version) if version.isdigit() else 0,
+        ticket=given.get(TICKET.lower(), ""),
+    )
--- a/packages/model/src/waxwinglever_model/limits.py
+++ b/packages/model/src/waxwinglever_model/limits.py
@@ -2,9 +2,9 @@
 
 HEARTBEAT_INTERVAL_S = 0.3
 LEASE_S = 1.5
-# Each clock may drift by 1%; a wait on one clock that must outlast a lease
-# counted on another is longer by both drifts.
-DRIFT_FACTOR = 1.02
+# Each clock may drift by 1%; a wait on a fast clock that must outlast a lease
+# counted on a slow one is longer by 1.01 / 0.99.
+DRIFT_FACTOR = 1.021
 LEASE_WAIT_S = LEASE_S * DRIFT_FACTOR
 ELECTION_SILENCE_S = 0.9
 ELECTION_STAGGER_S = 0.02
@@ -29,3 +29,5 @@
 MAX_TIMEOUT_MS = 60_000
 TICKET_PERIOD_S = 300.0
 BACKEND_ABSENCE_S = 2.0
+# A member that stays silent for this long and owns nothing leaves the record.
+MEMBER_REMOVAL_S = 30.0
--- /dev/null
+++ b/packages/ownership/src/waxwinglever_ownership/membership.py
@@ -0,0 +1,271 @@
+"""A member of a cell: the term that it acknowledges and its leases."""
+
+import threading
+from collections import Counter
+
+import attrs
+
+from waxwinglever_model import cells
+from waxwinglever_model import exceptions
+from waxwinglever_model import limits
+from waxwinglever_peers import messages
+
+# Send times of acknowledgements that a later heartbeat may refer to. The
+# leader refers to the last one that reached it, at most a few behind.
+KEPT_SEND_TIMES = 32
+
+
+@attrs.define(eq=False)
+class HeldLease:
+    """A lease on one slice.
+
+    Attributes:
+      item: The slice.
+      since: When the lease began, in seconds.
+      until: When it ends unless it is renewed, in seconds.
+      accepting: False while the slice is being handed back.
+    """
+
+    item: cells.Slice
+    since: float
+    until: float
+    accepting: bool = True
+
+
+@attrs.frozen
+class OwnershipChange:
+    """An event for the log: a lease began or ended.
+
+    Attributes:
+      event: `lease-began` or `lease-ended`.
+      item: The slice.
+      term: Term of the leader that granted the lease.
+      at_s: When, in seconds; for an expired lease, when it expired.
+      reason: Why it began or ended.
+    """
+
+    event: str
+    item: cells.Slice
+    term: int
+    at_s: float
+    reason: str
+
+
+@attrs.define(eq=False)
+class MemberState:
+    """State of one member; `lock` guards all of it.
+
+    Attributes:
+      cell: Name of the cell.
+      node: Node name.
+      incarnation: Random id of this life of the daemon.
+      term: Highest term acknowledged or seen.
+      leader: Node name of the leader of that term, once it was heard.
+      sequence: Last accepted sequence of that term.
+      record: Newest record of the cell that the leader sent.
+      version: Store version of that record.
+      send_times: When the acknowledgement of each sequence was sent.
+      last_heard: When the last heartbeat was accepted, in seconds.
+      held: Leases by slice.
+      released: Slices handed back; never accepted again.
+      in_flight: Running requests by point of the hash space.
+      draining: Whether this node is leaving.
+      changes: Ownership changes that have not been logged yet.
+    """
+
+    cell: str
+    node: str
+    incarnation: str
+    last_heard: float
+    term: int = 0
+    leader: str = ""
+    sequence: int = 0
+    record: cells.CellRecord | None = None
+    version: int = 0
+    send_times: dict[int, float] = attrs.Factory(dict)
+    held: dict[cells.SliceRef, HeldLease] = attrs.Factory(dict)
+    released: set[cells.SliceRef] = attrs.Factory(set)
+    in_flight: Counter[int] = attrs.Factory(Counter)
+    draining: bool = False
+    changes: list[OwnershipChange] = attrs.Factory(list)
+    lock: threading.Condition = attrs.Factory(threading.Condition)
+
+
+def accept_heartbeat(
+    state: MemberState, heartbeat: messages.Heartbeat, now: float
+) -> messages.HeartbeatAck:
+    """Applies a heartbeat and returns its acknowledgement (rules R1 and R3).
+
+    Args:
+      state: The member.
+      heartbeat: What the leader sent.
+      now: Seconds on this node's clock. The acknowledgement is sent after
+        this moment, so a lease that counts from it ends early, never late.
+    """
+    with state.lock:
+        if not is_current(state, heartbeat):
+            return acknowledgement(state, heartbeat.sequence, False)
+        if heartbeat.term > state.term:
+            state.term = heartbeat.term
+            state.leader = heartbeat.leader
+            state.sequence = 0
+            state.send_times.clear()
+        state.leader = heartbeat.leader
+        state.sequence = heartbeat.sequence
+        state.last_heard = now
+        if heartbeat.record is not None:
+            state.record = heartbeat.record
+            state.version = heartbeat.record_version
+        drop_ended(state, now)
+        if state.version == heartbeat.record_version:
+            apply_grants(state, heartbeat, now)
+        hand_back(state, now)
+        state.send_times[heartbeat.sequence] = now
+        while len(state.send_times) > KEPT_SEND_TIMES:
+            del state.send_times[min(state.send_times)]
+        state.lock.notify_all()
+        return acknowledgement(state, heartbeat.sequence, True)
+
+
+def is_current(state: MemberState, heartbeat: messages.Heartbeat) -> bool:
+    """Returns whether the heartbeat is above the last accepted one."""
+    if heartbeat.cell != state.cell or heartbeat.term < state.term:
+        return False
+    if heartbeat.term > state.term:
+        return True
+    if state.leader and heartbeat.leader != state.leader:
+        return False
+    return heartbeat.sequence > state.sequence
+
+
+def acknowledgement(
+    state: MemberState, sequence: int, accepted: bool
+) -> messages.HeartbeatAck:
+    """Returns what the member answers to a heartbeat."""
+    return messages.HeartbeatAck(
+        node=state.node,
+        incarnation=state.incarnation,
+        accepted=accepted,
+        highest_term=state.term,
+        sequence=sequence,
+        record_version=state.version,
+        released=tuple(sorted(state.released, key=lambda ref: ref.start)),
+        draining=state.draining,
+    )
+
+
+def apply_grants(
+    state: MemberState, heartbeat: messages.Heartbeat, now: float
+) -> None:
+    """Begins, renews, shrinks and drops leases as the heartbeat says."""
+    own = {
+        item.ref: item
+        for item in state.record.slices
+        if item.owner == state.node
+    }
+    state.released &= own.keys()
+    for ref in [ref for ref in state.held if ref not in own]:
+        end_lease(state, ref, now, "reassigned")
+    # Without the time of the acknowledgement that the remaining time counts
+    # from, the end of the lease is not known on this clock.
+    base = state.send_times.get(heartbeat.base_sequence)
+    until = base + heartbeat.remaining_s if base is not None else now
+    withheld = set(heartbeat.withheld)
+    revoked = set(heartbeat.revoke)
+    for ref, item in own.items():
+        lease = state.held.get(ref)
+        if lease is not None:
+            lease.item = item
+            lease.accepting = ref not in revoked
+        if ref in withheld or ref in state.released or until <= now:
+            continue
+        if lease is not None:
+            lease.until = max(lease.until, until)
+        elif ref not in revoked:
+            state.held[ref] = HeldLease(item, now, until)
+            note_change(state, "lease-began", item, now, "granted")
+
+
+def drop_ended(state: MemberState, now: float) -> None:
+    """Drops the leases that have run out."""
+    for ref, lease in list(state.held.items()):
+        if lease.until <= now:
+            end_lease(state, ref, lease.until, "expired")
+
+
+def hand_back(state: MemberState, now: float) -> None:
+    """Releases the slices under handover that no running request uses."""
+    for ref, lease in list(state.held.items()):
+        if not lease.accepting and not is_in_use(state, lease.item):
+            end_lease(state, ref, now, "released")
+            state.released.add(ref)
+
+
+def is_in_use(state: MemberState, item: cells.Slice) -> bool:
+    """Returns whether a request for a point of the slice is running."""
+    return any(item.start <= point <= item.last for point in state.in_flight)
+
+
+def end_lease(
+    state: MemberState, ref: cells.SliceRef, at_s: float, reason: str
+) -> None:
+    """Removes a lease and notes the change for the log."""
+    lease = state.held.pop(ref)
+    note_change(state, "lease-ended", lease.item, at_s, reason)
+
+
+def note_change(
+    state: MemberState, event: str, item: cells.Slice, at_s: float, reason: str
+) -> None:
+    """Keeps a change of ownership until it is logged."""
+    change = OwnershipChange(event, item, state.term, at_s, reason)
+    state.changes.append(change)
+
+
+def take_changes(state: MemberState) -> list[OwnershipChange]:
+    """Returns the changes of ownership since the last call."""
+    with state.lock:
+        changes, state.changes = state.changes, []
+        return changes
+
+
+def begin(state: MemberState, point: int, now: float) -> HeldLease:
+    """Checks the lease on a point and counts a request as running (R12).
+
+    Each call that returns must be followed by one of `finish`.
+
+    Raises:
+      NotOwner: This node holds no lease on the point, or hands it back.
+    """
+    with state.lock:
+        lease = lease_at(state, point)
+        if lease is None or lease.until <= now or not lease.accepting:
+            raise exceptions.NotOwner(
+                f"node {state.node} holds no lease on this key",
+                "send the request to the owner that the answer names",
+                retry_after_ms=int(limits.HEARTBEAT_INTERVAL_S * 1000),
+            )
+        state.in_flight[point] += 1
+        return lease
+
+
+def finish(state: MemberState, point: int) -> None:
+    """Counts a request as finished."""
+    with state.lock:
+        state.in_flight[point] -= 1
+        if state.in_flight[point] <= 0:
+            del state.in_flight[point]
+
+
+def lease_at(state: MemberState, point: int) -> HeldLease | None:
+    """Returns the lease that covers a point; the caller has the lock."""
+    if state.record is None:
+        return None
+    item = state.record.slice_at(point)
+    return state.held.get(item.ref) if item is not None else None
+
+
+def is_silent(state: MemberState, now: float) -> bool:
+    """Returns whether no leader was heard within the election silence."""
+    with state.lock:
+        return now - state.last_heard > limits.ELECTION_SILENCE_S
--- a/packages/peers/src/waxwinglever_peers/messages.py
+++ b/packages/peers/src/waxwinglever_peers/messages.py
@@ -134,6 +134,14 @@
     highest_term: int
 
 
+@attrs.frozen
+class TransferLeadership:
+    """Asks a member to take the next term at once, as the leader leaves."""
+
+    cell: str
+    term: int
+
+
 @attrs.frozen
 class JoinRequest:
     """Asks the leader to record, update or remove a member.
@@ -228,6 +236,7 @@
     | HeartbeatAck
     | ElectionProbe
     | ElectionProbeReply
+    | TransferLeadership
     | JoinRequest
     | JoinReply
     | MapRequest
