--- a/packages/placement/src/waxwinglever_placement/__init__.py
+++ b/packages/placement/src/waxwinglever_placement/__init__.py
@@ -1,1 +1,4 @@
-"""Assignment of slices to nodes."""
+"""Assignment of slices to nodes.
+
+Public modules: plan, splits.
+"""
