--- a/packages/routing/src/waxwinglever_routing/__init__.py
+++ b/packages/routing/src/waxwinglever_routing/__init__.py
@@ -1,1 +1,4 @@
-"""Choice of the node for a request, retries and hedging."""
+"""Choice of the node for a request, retries and hedging.
+
+Public modules: balancer, budgets, hotkeys, maps.
+"""
--- /dev/null
+++ b/packages/routing/src/waxwinglever_routing/hotkeys.py
@@ -0,0 +1,159 @@
+"""Request rate and most frequent keys of each slice, as its owner sees them."""
+
+import math
+import threading
+from collections.abc import Callable, Iterable
+
+import attrs
+
+from waxwinglever_model import cells
+from waxwinglever_model import clock
+from waxwinglever_model import limits
+from waxwinglever_peers import messages
+
+# A key with a share above 1 / COUNTERS is always found.
+COUNTERS = 16
+# Counts lose half of their weight in this time: hot keys change within
+# minutes, and a few seconds of traffic tell a hot key from chance.
+HALF_LIFE_S = 5.0
+DECAY_PER_S = math.log(2) / HALF_LIFE_S
+# Counts are scaled down this often instead of on each request.
+DECAY_INTERVAL_S = 1.0
+# Loads in one acknowledgement; at about 40 bytes each they stay far below
+# the control traffic that a node may send.
+MAX_REPORTED = 64
+
+
+@attrs.define(eq=False)
+class Counter:
+    """Count of one key in the sketch.
+
+    Attributes:
+      count: Upper bound of the key's requests.
+      error: By how much the count may be too high.
+    """
+
+    count: float
+    error: float
+
+
+@attrs.define(eq=False)
+class SliceSketch:
+    """Space-saving sketch of one slice, with decaying counts.
+
+    Attributes:
+      last: Last point of the slice; a split or merge starts a new sketch.
+      since_s: When counting began.
+      decayed_s: When counts were scaled last.
+      total: Decayed number of requests.
+      counters: Counters by point, at most COUNTERS.
+    """
+
+    last: int
+    since_s: float
+    decayed_s: float
+    total: float = 0.0
+    counters: dict[int, Counter] = attrs.Factory(dict)
+
+
+@attrs.define(eq=False)
+class HotKeys:
+    """Sketches of the slices that this node owns.
+
+    Attributes:
+      now: Returns seconds of a monotonic clock.
+      sketches: By slice, at most MAX_SLICES.
+    """
+
+    now: Callable[[], float] = clock.boottime_s
+    sketches: dict[cells.SliceRef, SliceSketch] = attrs.field(
+        factory=dict, init=False
+    )
+    lock: threading.Lock = attrs.field(factory=threading.Lock, init=False)
+
+
+def record(hotkeys: HotKeys, item: cells.Slice, point: int) -> None:
+    """Counts a request for a point of a slice."""
+    now_s = hotkeys.now()
+    with hotkeys.lock:
+        sketch = hotkeys.sketches.get(item.ref)
+        if sketch is None or sketch.last != item.last:
+            if sketch is None and len(hotkeys.sketches) >= limits.MAX_SLICES:
+                return
+            sketch = SliceSketch(item.last, now_s, now_s)
+            hotkeys.sketches[item.ref] = sketch
+        if now_s - sketch.decayed_s >= DECAY_INTERVAL_S:
+            decay(sketch, now_s)
+        sketch.total += 1
+        count_point(sketch.counters, point)
+
+
+def count_point(counters: dict[int, Counter], point: int) -> None:
+    """Adds one to a point; a new one takes over the smallest counter."""
+    counter = counters.get(point)
+    if counter is not None:
+        counter.count += 1
+    elif len(counters) < COUNTERS:
+        counters[point] = Counter(1, 0)
+    else:
+        smallest = min(counters, key=lambda key: counters[key].count)
+        floor = counters.pop(smallest).count
+        counters[point] = Counter(floor + 1, floor)
+
+
+def decay(sketch: SliceSketch, now_s: float) -> None:
+    """Scales all counts down by the time since the last call."""
+    factor = math.exp(-DECAY_PER_S * (now_s - sketch.decayed_s))
+    sketch.decayed_s = now_s
+    sketch.total *= factor
+    for counter in sketch.counters.values():
+        counter.count *= factor
+        counter.error *= factor
+
+
+def loads(
+    hotkeys: HotKeys, max_slices: int = MAX_REPORTED
+) -> tuple[messages.SliceLoad, ...]:
+    """Returns the loads of the busiest slices, the busiest first.
+
+    The share of the hottest key is a lower bound, so that evenly used slices
+    show no hot key.
+    """
+    now_s = hotkeys.now()
+    with hotkeys.lock:
+        found = []
+        for ref, sketch in hotkeys.sketches.items():
+            decay(sketch, now_s)
+            found.append(load_of(ref, sketch, now_s))
+    found.sort(key=lambda load: (-load.requests_per_s, load.ref.start))
+    return tuple(found[:max_slices])
+
+
+def load_of(
+    ref: cells.SliceRef, sketch: SliceSketch, now_s: float
+) -> messages.SliceLoad:
+    """Returns the load of one slice whose counts are decayed up to now."""
+    # The counts of a constant rate add up to rate * (1 - exp(-k * age)) / k.
+    # Ages below a second would make a rate of a few first requests.
+    age_s = max(now_s - sketch.since_s, DECAY_INTERVAL_S)
+    weight_s = -math.expm1(-DECAY_PER_S * age_s) / DECAY_PER_S
+    hottest = max(
+        sketch.counters.items(),
+        key=lambda entry: (entry[1].count - entry[1].error, -entry[0]),
+        default=None,
+    )
+    if hottest is None or sketch.total <= 0:
+        return messages.SliceLoad(ref, sketch.total / weight_s)
+    point, counter = hottest
+    share = (counter.count - counter.error) / sketch.total
+    return messages.SliceLoad(
+        ref, sketch.total / weight_s, point, min(1.0, share)
+    )
+
+
+def retain(hotkeys: HotKeys, refs: Iterable[cells.SliceRef]) -> None:
+    """Drops the sketches of all slices but `refs`."""
+    kept = set(refs)
+    with hotkeys.lock:
+        for ref in hotkeys.sketches.keys() - kept:
+            del hotkeys.sketches[ref]
--- /dev/null
+++ b/packages/routing/src/waxwinglever_routing/maps.py
@@ -0,0 +1,114 @@
+"""Cache of the records of other cells."""
+
+import collections
+import threading
+
+import attrs
+
+from waxwinglever_model import cells
+
+# A record of 4,096 slices takes about 1 MB as objects; a node talks to few
+# cells at a time.
+MAX_CELLS = 16
+
+
+@attrs.frozen
+class Target:
+    """Where a request for a point goes.
+
+    Attributes:
+      member: The recorded owner.
+      item: The slice that holds the point.
+      version: Version of the record that says so.
+    """
+
+    member: cells.Member
+    item: cells.Slice
+    version: int
+
+
+@attrs.frozen
+class CachedMap:
+    """A record, or what is remembered of one that was forgotten.
+
+    Attributes:
+      term: Term of the record.
+      version: Version of the record in the store.
+      record: The record, or None after `forget`.
+    """
+
+    term: int
+    version: int
+    record: cells.CellRecord | None
+
+
+@attrs.define(eq=False)
+class MapCache:
+    """Records of other cells; the one used longest ago is dropped first.
+
+    Attributes:
+      max_cells: Bound on the number of cells.
+      maps: Cached records by cell, in the order of use.
+    """
+
+    max_cells: int = attrs.field(
+        default=MAX_CELLS, validator=attrs.validators.ge(1)
+    )
+    maps: collections.OrderedDict[str, CachedMap] = attrs.field(
+        factory=collections.OrderedDict, init=False
+    )
+    lock: threading.Lock = attrs.field(factory=threading.Lock, init=False)
+
+
+def learn(cache: MapCache, record: cells.CellRecord, version: int) -> bool:
+    """Keeps a record unless a newer one of its cell is known.
+
+    Neither the term nor the version ever goes back. A forgotten record may be
+    learned again under the same version.
+
+    Returns:
+      Whether the record was kept.
+    """
+    with cache.lock:
+        known = cache.maps.get(record.cell)
+        if known is not None:
+            if record.term < known.term or version < known.version:
+                return False
+            if version == known.version and known.record is not None:
+                return False
+        cache.maps[record.cell] = CachedMap(record.term, version, record)
+        cache.maps.move_to_end(record.cell)
+        while len(cache.maps) > cache.max_cells:
+            cache.maps.popitem(last=False)
+        return True
+
+
+def lookup(cache: MapCache, cell: str, point: int) -> Target | None:
+    """Returns the owner of a point, or None when none is known."""
+    with cache.lock:
+        known = cache.maps.get(cell)
+        if known is None or known.record is None:
+            return None
+        cache.maps.move_to_end(cell)
+    item = known.record.slice_at(point)
+    member = known.record.member(item.owner) if item is not None else None
+    if item is None or member is None:
+        return None
+    return Target(member, item, known.version)
+
+
+def known_version(cache: MapCache, cell: str) -> int:
+    """Returns the version of the cached record, or 0 when there is none."""
+    with cache.lock:
+        known = cache.maps.get(cell)
+        if known is None or known.record is None:
+            return 0
+        return known.version
+
+
+def forget(cache: MapCache, cell: str) -> None:
+    """Drops the record of a cell, but refuses older ones from then on."""
+    with cache.lock:
+        known = cache.maps.get(cell)
+        if known is not None:
+            cache.maps[cell] = attrs.evolve(known, record=None)
--- /dev/null
+++ b/packages/routing/tests/test_balancer.py
@@ -0,0 +1,164 @@
+"""Tests of waxwinglever_routing.balancer."""
+
+import collections
+import heapq
+import random
+import threading
+
+import testtools
+
+from waxwinglever_routing import balancer
+
+NODES = tuple(f"n{i}" for i in range(6))
+
+
+class Simulation:
+    """Requests in virtual time against nodes of given service times."""
+
+    def __init__(self, service_s, seed=1):
+        self.now_s = 1000.0
+        self.service_s = service_s
+        self.rng = random.Random(f"traffic/{seed}")
+        self.balancer = balancer.Balancer(
+            random.Random(seed), now=lambda: self.now_s
+        )
+        self.running = []
+
+    def run(self, seconds, rate, nodes, failing=()):
+        """Returns the number of requests that each node got."""
+        counts = collections.Counter()
+        end_s = self.now_s + seconds
+        while True:
+            next_s = self.now_s + self.rng.expovariate(rate)
+            while self.running and self.running[0][0] <= next_s:
+                self.now_s, name, took_s, ok = heapq.heappop(self.running)
+                balancer.ended(self.balancer, name, took_s, ok)
+            self.now_s = next_s
+            if next_s >= end_s:
+                return counts
+            name = balancer.choose(self.balancer, nodes)
+            counts[name] += 1
+            balancer.started(self.balancer, name)
+            took_s = self.rng.expovariate(1 / self.service_s[name])
+            ok = name not in failing
+            heapq.heappush(self.running, (next_s + took_s, name, took_s, ok))
+
+
+def even_service(**changes):
+    return {**dict.fromkeys(NODES, 0.01), **changes}
+
+
+class BalancerSimulationTest(testtools.TestCase):
+    """Guards against slow, failing or cold nodes that get a full share."""
+
+    def test_equal_nodes_get_equal_shares(self):
+        counts = Simulation(even_service()).run(60, 300, NODES)
+        fair = sum(counts.values()) / len(NODES)
+        for name in NODES:
+            self.assertTrue(0.75 < counts[name] / fair < 1.25, counts)
+
+    def test_a_straggler_gets_a_clearly_smaller_share(self):
+        for seed in range(3):
+            simulation = Simulation(even_service(n0=0.05), seed)
+            simulation.run(10, 300, NODES)
+            counts = simulation.run(30, 300, NODES)
+            fair = sum(counts.values()) / len(NODES)
+            self.assertTrue(counts["n0"] < 0.5 * fair, counts)
+            self.assertTrue(counts["n0"] > 0, counts)
+
+    def test_a_straggler_that_recovers_gets_its_share_again(self):
+        simulation = Simulation(even_service(n0=0.05))
+        simulation.run(30, 300, NODES)
+        simulation.service_s["n0"] = 0.01
+        simulation.run(30, 300, NODES)
+        counts = simulation.run(30, 300, NODES)
+        fair = sum(counts.values()) / len(NODES)
+        self.assertTrue(counts["n0"] > 0.7 * fair, counts)
+
+    def test_a_failing_node_is_avoided_and_comes_back(self):
+        simulation = Simulation(even_service())
+        simulation.run(10, 300, NODES)
+        failing = simulation.run(30, 300, NODES, failing=("n0",))
+        fair = sum(failing.values()) / len(NODES)
+        self.assertTrue(0 < failing["n0"] < 0.05 * fair, failing)
+        simulation.run(15, 300, NODES)
+        counts = simulation.run(20, 300, NODES)
+        fair = sum(counts.values()) / len(NODES)
+        self.assertTrue(counts["n0"] > 0.7 * fair, counts)
+
+    def test_new_and_returning_nodes_ramp_up(self):
+        simulation = Simulation(even_service())
+        simulation.run(10, 300, NODES[1:])
+        for absence_s in (0, 2 * balancer.ABSENCE_S):
+            simulation.run(absence_s, 300, NODES[1:])
+            first = simulation.run(1, 300, NODES)
+            simulation.run(10, 300, NODES)
+            later = simulation.run(10, 300, NODES)
+            fair = sum(first.values()) / len(NODES)
+            self.assertTrue(first["n0"] < 0.5 * fair, first)
+            fair = sum(later.values()) / len(NODES)
+            self.assertTrue(later["n0"] > 0.7 * fair, later)
+
+
+class BalancerTest(testtools.TestCase):
+    """Guards against wrong choices in single situations."""
+
+    def setUp(self):
+        super().setUp()
+        self.now_s = 10.0
+        self.state = balancer.Balancer(random.Random(1), now=lambda: self.now_s)
+
+    def test_excluded_nodes_are_never_chosen(self):
+        for nodes, exclude, expected in (
+            ((), (), None),
+            (("a",), ("a",), None),
+            (("a", "b"), ("a",), "b"),
+            (tuple("abcdefghijkl"), tuple("abcdefghijk"), "l"),
+        ):
+            self.assertEqual(
+                expected, balancer.choose(self.state, nodes, exclude)
+            )
+
+    def test_the_time_of_avoidance_grows_and_ends(self):
+        spans = []
+        for _ in range(7):
+            balancer.started(self.state, "a")
+            balancer.ended(self.state, "a", 0.01, False)
+            spans.append(self.state.views["a"].avoid_until_s - self.now_s)
+            self.assertEqual("b", balancer.choose(self.state, ("a", "b")))
+            self.assertEqual("a", balancer.choose(self.state, ("a",)))
+            self.now_s += spans[-1]
+        self.assertEqual(sorted(spans), spans)
+        self.assertAlmostEqual(balancer.AVOID_FIRST_S, spans[0])
+        self.assertAlmostEqual(balancer.AVOID_MAX_S, spans[-1])
+
+    def test_failures_of_one_burst_count_once(self):
+        for _ in range(20):
+            balancer.started(self.state, "a")
+        for _ in range(20):
+            balancer.ended(self.state, "a", 0.01, False)
+        self.assertEqual(1, self.state.views["a"].failures)
+        self.assertEqual(0, self.state.views["a"].in_flight)
+
+    def test_idle_views_are_bounded(self):
+        balancer.started(self.state, "busy")
+        for i in range(2 * balancer.MAX_NODES):
+            balancer.choose(self.state, (f"n{i}",))
+        self.assertEqual(balancer.MAX_NODES, len(self.state.views))
+        self.assertIn("busy", self.state.views)
+
+    def test_threads_lose_no_count(self):
+        def work():
+            for _ in range(300):
+                name = balancer.choose(self.state, NODES)
+                balancer.started(self.state, name)
+                balancer.ended(self.state, name, 0.01, True)
+
+        threads = [threading.Thread(target=work) for _ in range(4)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        self.assertEqual(
+            {0}, {view.in_flight for view in self.state.views.values()}
+        )
--- /dev/null
+++ b/packages/routing/tests/test_maps.py
@@ -0,0 +1,61 @@
+"""Tests of waxwinglever_routing.maps."""
+
+import attrs
+import testtools
+
+from waxwinglever_model import cells
+from waxwinglever_model import hashing
+from waxwinglever_routing import maps
+
+MEMBER = cells.Member("a", "i", "127.0.0.1:1", "127.0.0.1:2", "z")
+
+
+def record_of(term=1, cell="t/s/0", owner="a"):
+    slices = tuple(
+        attrs.evolve(item, owner=owner) for item in cells.even_slices(4)
+    )
+    return cells.CellRecord(cell, term, "a", "i", "n", (MEMBER,), slices)
+
+
+class MapCacheTest(testtools.TestCase):
+    """Guards against requests that follow a map which was replaced."""
+
+    def test_only_newer_records_are_kept(self):
+        for name, forgotten, term, version, expected in (
+            ("newer version", False, 3, 8, True),
+            ("newer term and version", False, 4, 8, True),
+            ("same version", False, 3, 7, False),
+            ("older version", False, 3, 6, False),
+            ("older version of a newer term", False, 4, 6, False),
+            ("newer version of an older term", False, 2, 8, False),
+            ("same version, forgotten", True, 3, 7, True),
+            ("older version, forgotten", True, 3, 6, False),
+        ):
+            cache = maps.MapCache()
+            self.assertTrue(maps.learn(cache, record_of(3), 7))
+            if forgotten:
+                maps.forget(cache, "t/s/0")
+            kept = maps.learn(cache, record_of(term), version)
+            self.assertEqual(expected, kept, name)
+
+    def test_lookup(self):
+        cache = maps.MapCache()
+        self.assertIs(None, maps.lookup(cache, "t/s/0", 0))
+        maps.learn(cache, record_of(), 7)
+        target = maps.lookup(cache, "t/s/0", hashing.SPACE - 1)
+        self.assertEqual((MEMBER, 7), (target.member, target.version))
+        self.assertEqual(hashing.SPACE - 1, target.item.last)
+        self.assertEqual(7, maps.known_version(cache, "t/s/0"))
+        maps.forget(cache, "t/s/0")
+        self.assertIs(None, maps.lookup(cache, "t/s/0", 0))
+        self.assertEqual(0, maps.known_version(cache, "t/s/0"))
+        maps.learn(cache, record_of(owner="gone"), 9)
+        self.assertIs(None, maps.lookup(cache, "t/s/0", 0))
+
+    def test_the_cell_used_longest_ago_is_dropped(self):
+        cache = maps.MapCache(max_cells=2)
+        for name in ("c/0", "c/1"):
+            maps.learn(cache, record_of(cell=name), 1)
+        maps.lookup(cache, "c/0", 0)
+        maps.learn(cache, record_of(cell="c/2"), 1)
+        self.assertEqual(["c/0", "c/2"], list(cache.maps))
