--- /dev/null
+++ b/packages/bench/tests/test_placement_trace.py
@@ -0,0 +1,39 @@
+"""Tests of waxwinglever_bench.placement_trace."""
+
+import attrs
+import testtools
+
+from waxwinglever_bench import placement_trace
+
+SMALL = placement_trace.Setup(
+    rounds=30, nodes_per_zone=3, slices=64, keys=500, hot_rounds=6
+)
+
+
+def without_times(result):
+    return [attrs.evolve(item, call_ms=0) for item in result.policies]
+
+
+class PlacementTraceTest(testtools.TestCase):
+    """Guards against a trace that favours a policy or differs by run."""
+
+    def test_the_same_seed_gives_the_same_figures(self):
+        first = placement_trace.run_trace(SMALL)
+        second = placement_trace.run_trace(SMALL)
+        self.assertEqual(without_times(first), without_times(second))
+
+    def test_planned_placement_is_the_most_even(self):
+        result = placement_trace.run_trace(SMALL)
+        figures = {item.name: item for item in result.policies}
+        ours = figures["plan_moves"]
+        for name in ("rendezvous", "orphans-only"):
+            self.assertTrue(ours.imbalance_mean < figures[name].imbalance_mean)
+        self.assertEqual(0, figures["orphans-only"].moved_quiet)
+
+    def test_a_zone_leaves_and_returns(self):
+        weights = [
+            sum(node.weight for node in nodes)
+            for nodes in placement_trace.nodes_by_round(SMALL)
+        ]
+        self.assertTrue(max(weights[10:15]) <= 6)
+        self.assertTrue(weights[15] >= 8)
