--- a/packages/records/src/waxwinglever_records/__init__.py
+++ b/packages/records/src/waxwinglever_records/__init__.py
@@ -1,1 +1,4 @@
-"""Configuration records: schema versions, validation, generations."""
+"""Configuration records: schema versions, validation, generations.
+
+Public modules: config, schemas, value.
+"""
--- /dev/null
+++ b/packages/records/tests/test_schemas.py
@@ -0,0 +1,44 @@
+"""Tests of waxwinglever_records.schemas."""
+
+import testtools
+
+from waxwinglever_model import exceptions
+from waxwinglever_records import schemas
+
+ENTRY = {"generation": 1, "time": "", "author": "", "message": ""}
+# Content of a value, and the path that the error must name.
+BAD_VALUES = (
+    ([], "$:"),
+    ({"documents": {}}, "$.generation: missing"),
+    ({"generation": "1", "documents": {}}, "$.generation: a str"),
+    ({"generation": True, "documents": {}}, "$.generation: a bool"),
+    ({"generation": 2**60, "documents": {}}, "$.generation: the integer"),
+    ({"generation": 0, "documents": {}}, "$.generation: 0 is out"),
+    ({"generation": 1, "documents": []}, "$.documents: a list"),
+    ({"generation": 1, "documents": {"1": 2}}, "$.documents: a int"),
+    ({"generation": 1, "documents": {}, "x": 1}, "$.x: unknown key"),
+    (
+        {"generation": 1, "documents": {}, "history": [ENTRY]},
+        "$.history[0].nonce: missing",
+    ),
+)
+BAD_TEXTS = ("", "{", "NaN", '{"a": 1, "a": 2}', "[" * 100_000, "9" * 5000)
+
+
+class StructureTest(testtools.TestCase):
+    """Guards against errors that do not say where the fault is."""
+
+    def test_an_error_names_the_path(self):
+        for content, expected in BAD_VALUES:
+            error = self.assertRaises(
+                exceptions.InvalidInput,
+                schemas.structure,
+                content,
+                schemas.Value,
+            )
+            self.assertTrue(str(error).startswith(expected), str(error))
+            self.assertTrue(error.remedy)
+
+    def test_text_that_is_not_json_is_refused(self):
+        for text in BAD_TEXTS:
+            self.assertRaises(exceptions.InvalidInput, schemas.load_json, text)
--- /dev/null
+++ b/packages/records/tests/test_value.py
@@ -0,0 +1,65 @@
+"""Tests of waxwinglever_records.value."""
+
+import testtools
+
+from waxwinglever_model import exceptions
+from waxwinglever_records import config
+from waxwinglever_records import value
+
+DOCUMENT = {
+    "schema_version": 2,
+    "tenant": "tulpar",
+    "zones": [{"name": "taraz", "region": "kz-south"}],
+    "services": [],
+    "placement": {"move_cost": 1, "max_moves": 1},
+}
+OLD = {**DOCUMENT, "schema_version": 1}
+OLD["zones"] = [{"name": "taraz", "region": "kz-south", "state": "in"}]
+BAD = (
+    ({}, "a", "m"),
+    ({3: {**DOCUMENT, "schema_version": 3}}, "a", "m"),
+    ({1: DOCUMENT}, "a", "m"),
+    ({1: OLD, 2: {**DOCUMENT, "tenant": "x"}}, "a", "m"),
+    ({1: OLD, 2: {**DOCUMENT, "zones": []}}, "a", "m"),
+    ({2: []}, "a", "m"),
+    ({2: DOCUMENT}, "a\n", "m"),
+    ({2: DOCUMENT}, "a", "\ud800"),
+    ({2: DOCUMENT}, "a", "m" * 501),
+    ({2: {**DOCUMENT, "retired": ["n" * 60] * 20_000}}, "a", "m"),
+)
+
+
+class NextValueTest(testtools.TestCase):
+    """Guards against values that readers would refuse or mistake."""
+
+    def test_generation_and_history_grow_and_nonces_differ(self):
+        text = None
+        for expected in range(1, value.MAX_HISTORY + 3):
+            text = value.next_value(text, {1: OLD, 2: DOCUMENT}, "a", "m")
+            self.assertEqual(expected, config.parse_value(text).generation)
+        history = value.parse(text).history
+        self.assertEqual(value.MAX_HISTORY, len(history))
+        self.assertEqual(expected, history[-1].generation)
+        self.assertEqual(len(history), len({entry.nonce for entry in history}))
+
+    def test_bad_documents_and_notes_are_refused(self):
+        for arguments in BAD:
+            self.assertRaises(
+                exceptions.InvalidInput, value.next_value, None, *arguments
+            )
+
+    def test_a_value_over_the_limit_is_refused(self):
+        retired = [f"node-{i:050}" for i in range(20_000)]
+        self.assertRaises(
+            exceptions.InvalidInput,
+            value.next_value,
+            None,
+            {2: {**DOCUMENT, "retired": retired}},
+            "a",
+            "m",
+        )
+
+    def test_unknown_versions_are_not_edited(self):
+        text = value.next_value(None, {2: DOCUMENT}, "a", "m")
+        newer = value.parse(text.replace('"2": {', '"9": {'))
+        self.assertRaises(exceptions.InvalidInput, value.documents_of, newer)
