--- a/packages/telemetry/src/waxwinglever_telemetry/__init__.py
+++ b/packages/telemetry/src/waxwinglever_telemetry/__init__.py
@@ -1,1 +1,4 @@
-"""JSON-line logs and metrics."""
+"""JSON-line logs and metrics.
+
+Public modules: logs, metrics.
+"""
--- /dev/null
+++ b/packages/telemetry/src/waxwinglever_telemetry/logs.py
@@ -0,0 +1,65 @@
+"""Logs as JSON lines with time (UTC), level, event, node and fields."""
+
+import logging
+import typing
+from collections.abc import MutableMapping
+
+import structlog
+
+from waxwinglever_model import clock
+
+FIRST_KEYS = ("time", "level", "event", "node")
+
+
+def configure(
+    stream: typing.TextIO, node: str, level: int = logging.INFO
+) -> None:
+    """Sends the logs of this process to a stream.
+
+    Args:
+      stream: Takes the lines.
+      node: Name of this node, for each line.
+      level: The lowest level that is written.
+    """
+
+    def add_node(_, __, event: MutableMapping) -> MutableMapping:
+        event["node"] = node
+        return event
+
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True, key="time"),
+            add_node,
+            structlog.processors.format_exc_info,
+            in_order,
+            structlog.processors.JSONRenderer(),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(level),
+        logger_factory=structlog.WriteLoggerFactory(stream),
+        # Loggers are module globals, so a cached one would keep the stream of
+        # an earlier configuration.
+        cache_logger_on_first_use=False,
+    )
+
+
+def in_order(_, __, event: MutableMapping) -> dict:
+    """Returns the event with the common keys first, for human readers."""
+    first = {key: event[key] for key in FIRST_KEYS if key in event}
+    return first | dict(event)
+
+
+def logger() -> typing.Any:
+    """Returns the logger; it follows the newest configuration."""
+    return structlog.get_logger()
+
+
+def audit(event: str, **fields: typing.Any) -> None:
+    """Logs a change of ownership for the check of ownership intervals.
+
+    Args:
+      event: What happened, for example `lease-begin`.
+      **fields: Slice, epoch and whatever else identifies the interval.
+    """
+    # Wall clocks of nodes differ and step; boot time is what leases use.
+    logger().info(event, audit=True, boottime_ns=clock.boottime_ns(), **fields)
