--- a/packages/cli/src/waxwinglever_cli/__init__.py
+++ b/packages/cli/src/waxwinglever_cli/__init__.py
@@ -1,1 +1,4 @@
-"""The operators' command-line tool."""
+"""The operators' command-line tool.
+
+Public modules: exits, main, settings.
+"""
--- /dev/null
+++ b/packages/cli/tests/test_writes.py
@@ -0,0 +1,136 @@
+"""Tests of waxwinglever_cli.writes."""
+
+import attrs
+import testtools
+
+from waxwinglever_cli import exits
+from waxwinglever_cli import writes
+from waxwinglever_model import exceptions
+from waxwinglever_records import config
+from waxwinglever_records import value
+
+DOCUMENT = {
+    "schema_version": 2,
+    "tenant": "tulpar",
+    "zones": [{"name": "taraz", "region": "kz-south"}],
+    "services": [],
+    "placement": {"move_cost": 1, "max_moves": 1},
+}
+KEY = config.store_key("tulpar")
+DOWN = exceptions.StoreUnavailable("down", "wait")
+
+
+@attrs.define
+class Entry:
+    value: str
+    version: int
+
+
+@attrs.define
+class ScriptedStore:
+    """A store in memory; `script` lists the faults of the next writes.
+
+    Attributes:
+      script: For each write: "lost" (takes effect, answer lost), "dropped"
+        (no effect, no answer), "raced" (another writer precedes it, answer
+        lost), "conflict" (another writer precedes it) or "ok".
+      down_after_write: Whether reads fail once a write was tried.
+    """
+
+    script: list[str]
+    down_after_write: bool = False
+    entry: Entry | None = None
+    writes: int = 0
+
+    def get(self, key):
+        assert key == KEY
+        if self.down_after_write and self.writes:
+            raise DOWN
+        return self.entry
+
+    def put(self, text, expected):
+        version = self.entry.version if self.entry else 0
+        if expected != version:
+            raise exceptions.Conflict("other version", "read it")
+        self.entry = Entry(text, version + 1)
+        return version + 1
+
+    def compare_and_swap(self, _, text, expected):
+        self.writes += 1
+        fault = self.script.pop(0) if self.script else "ok"
+        if fault in ("raced", "conflict"):
+            self.put(next_text(self.entry), expected)
+        if fault in ("lost", "dropped", "raced"):
+            if fault == "lost":
+                self.put(text, expected)
+            raise DOWN
+        return self.put(text, expected)
+
+
+def next_text(entry):
+    before = entry.value if entry else None
+    return value.next_value(before, {2: DOCUMENT}, "other", "m")
+
+
+def no_sleep(_):
+    pass
+
+
+# Faults of the writes, whether reads fail, and the result.
+CASES = (
+    (["ok"], False, (1, False)),
+    (["lost"], False, (1, True)),
+    (["dropped", "dropped"], False, (1, True)),
+    (["dropped", "lost"], False, (1, True)),
+    (["conflict"], False, exceptions.Conflict),
+    (["raced"], False, exceptions.Conflict),
+    (["dropped", "conflict"], False, exceptions.Conflict),
+    (["dropped"] * 9, False, exits.WriteUnknown),
+    (["lost"] * 9, True, exits.WriteUnknown),
+)
+
+
+class WriteTest(testtools.TestCase):
+    """Guards against a wrong report on a write whose answer is lost."""
+
+    def test_each_fault_has_its_result(self):
+        for script, down, expected in CASES:
+            store = ScriptedStore(list(script), down)
+            current = writes.read(store, "tulpar")
+            text = next_text(None)
+            arguments = (store, "tulpar", current, text, no_sleep)
+            if isinstance(expected, tuple):
+                written = writes.write(*arguments)
+                self.assertEqual(expected, attrs.astuple(written))
+                self.assertEqual(text, store.entry.value)
+            else:
+                self.assertRaises(expected, writes.write, *arguments)
+                if store.entry and expected is exceptions.Conflict:
+                    self.assertNotEqual(text, store.entry.value)
+
+
+class EditTest(testtools.TestCase):
+    """Guards against edits that a race drops, or that never end."""
+
+    def edit(self, store):
+        def change(document):
+            document["retired"] = ["node-a"]
+            return True
+
+        return writes.edit(store, "tulpar", change, "a", "m", no_sleep)
+
+    def test_a_lost_race_is_repeated_on_the_new_value(self):
+        store = ScriptedStore(["ok", "conflict", "conflict"])
+        store.compare_and_swap(KEY, next_text(None), 0)
+        self.assertEqual(4, self.edit(store).generation)
+        parsed = config.parse_value(store.entry.value)
+        self.assertEqual((4, ("node-a",)), (parsed.generation, parsed.retired))
+
+    def test_the_number_of_tries_is_bounded(self):
+        store = ScriptedStore(["ok"] + ["conflict"] * 99)
+        store.compare_and_swap(KEY, next_text(None), 0)
+        self.assertRaises(exceptions.Conflict, self.edit, store)
+        self.assertEqual(1 + writes.EDIT_TRIES, store.writes)
+
+    def test_a_missing_value_is_refused(self):
+        self.assertRaises(exceptions.InvalidInput, self.edit, ScriptedStore([]))
