--- a/packages/cli/src/waxwinglever_cli/settings.py
+++ b/packages/cli/src/waxwinglever_cli/settings.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import importlib
+import re
 import time
 import typing
 from collections.abc import Callable
@@ -62,7 +63,7 @@
     if text is None:
         return None
     host, _, port = text.rpartition(":")
-    valid = port.isascii() and port.isdecimal() and 0 < int(port) < 65536
+    valid = re.fullmatch("[0-9]{1,5}", port) and 0 < int(port) < 65536
     if not host or not valid or set(host) & set("/?#@ "):
         raise click.BadParameter(f"{text!r} is not host:port")
     return text
--- /dev/null
+++ b/packages/cli/tests/test_settings.py
@@ -0,0 +1,30 @@
+"""Tests of waxwinglever_cli.settings."""
+
+import click
+import testtools
+
+from waxwinglever_cli import settings
+
+BAD = (
+    "",
+    "host",
+    "host:",
+    ":1",
+    "h:0",
+    "h:65536",
+    "h:x",
+    "h:" + "9" * 5000,
+    "http://h:1",
+    "a@h:1",
+)
+
+
+class AddressTest(testtools.TestCase):
+    """Guards against addresses that reach another host or path."""
+
+    def test_only_host_and_port_are_accepted(self):
+        self.assertEqual("h:1", settings.check_address(None, None, "h:1"))
+        for text in BAD:
+            self.assertRaises(
+                click.BadParameter, settings.check_address, None, None, text
+            )
--- a/packages/cli/tests/test_writes.py
+++ b/packages/cli/tests/test_writes.py
@@ -34,17 +34,18 @@
       script: For each write: "lost" (takes effect, answer lost), "dropped"
         (no effect, no answer), "raced" (another writer precedes it, answer
         lost), "conflict" (another writer precedes it) or "ok".
-      down_after_write: Whether reads fail once a write was tried.
+      failing_reads: Number of reads that fail once a write was tried.
     """
 
     script: list[str]
-    down_after_write: bool = False
+    failing_reads: int = 0
     entry: Entry | None = None
     writes: int = 0
 
     def get(self, key):
         assert key == KEY
-        if self.down_after_write and self.writes:
+        if self.failing_reads and self.writes:
+            self.failing_reads -= 1
             raise DOWN
         return self.entry
 
@@ -76,17 +77,19 @@
     pass
 
 
-# Faults of the writes, whether reads fail, and the result.
+# Faults of the writes, the failing reads, and the result.
 CASES = (
-    (["ok"], False, (1, False)),
-    (["lost"], False, (1, True)),
-    (["dropped", "dropped"], False, (1, True)),
-    (["dropped", "lost"], False, (1, True)),
-    (["conflict"], False, exceptions.Conflict),
-    (["raced"], False, exceptions.Conflict),
-    (["dropped", "conflict"], False, exceptions.Conflict),
-    (["dropped"] * 9, False, exits.WriteUnknown),
-    (["lost"] * 9, True, exits.WriteUnknown),
+    (["ok"], 0, (1, False)),
+    (["lost"], 0, (1, True)),
+    (["dropped", "dropped"], 0, (1, True)),
+    (["dropped", "lost"], 0, (1, True)),
+    (["lost"], 1, (1, True)),
+    (["raced"], 1, exceptions.Conflict),
+    (["conflict"], 0, exceptions.Conflict),
+    (["raced"], 0, exceptions.Conflict),
+    (["dropped", "conflict"], 0, exceptions.Conflict),
+    (["dropped"] * 9, 0, exits.WriteUnknown),
+    (["lost"] * 9, 99, exits.WriteUnknown),
 )
 
 
@@ -94,8 +97,8 @@
     """Guards against a wrong report on a write whose answer is lost."""
 
     def test_each_fault_has_its_result(self):
-        for script, down, expected in CASES:
-            store = ScriptedStore(list(script), down)
+        for script, failing_reads, expected in CASES:
+            store = ScriptedStore(list(script), failing_reads)
             current = writes.read(store, "tulpar")
             text = next_text(None)
             arguments = (store, "tulpar", current, text, no_sleep)
