--- a/packages/daemon/src/waxwinglever_daemon/assembly.py
+++ b/packages/daemon/src/waxwinglever_daemon/assembly.py
@@ -179,8 +179,9 @@
     if node is None:
         return ()
     with node.state.lock:
-        items = [lease.item for lease in node.state.held.values()]
-    return hotkeys.slice_loads(site.heat, items, site.now())
+        held = list(node.state.held)
+    hotkeys.retain(site.heat, held)
+    return hotkeys.loads(site.heat)
 
 
 def connect(
--- a/packages/front/src/waxwinglever_front/crashes.py
+++ b/packages/front/src/waxwinglever_front/crashes.py
@@ -23,15 +23,33 @@
         convicted=list(news.convicted),
     )
     node = site.node
-    record = node.state.record if node is not None else None
+    tell_all(
+        site,
+        messages.CrashReport(
+            node.tenant,
+            node.service,
+            suspects=news.suspects,
+            convicted=news.convicted,
+        ),
+    )
+
+
+def report_cleared(site: sites.Site, fingerprint: str) -> None:
+    """Tells the other members that a suspect has completed."""
+    node = site.node
+    tell_all(
+        site,
+        messages.CrashReport(
+            node.tenant, node.service, cleared=(fingerprint,)
+        ),
+    )
+
+
+def tell_all(site: sites.Site, message: messages.CrashReport) -> None:
+    """Sends a report to the other members of the cell, all at once."""
+    record = site.node.state.record
     if record is None:
         return
-    message = messages.CrashReport(
-        node.tenant,
-        node.service,
-        tuple(news.suspects),
-        tuple(news.convicted),
-    )
 
     def tell(address: str) -> None:
         try:
--- a/packages/front/src/waxwinglever_front/dispatch.py
+++ b/packages/front/src/waxwinglever_front/dispatch.py
@@ -66,11 +66,13 @@
     request: exchange.Request,
     is_keyed: bool,
 ) -> tickets.Ticket:
-    """Returns the request's ticket if it is valid here and now.
+    """Returns the request's ticket if it is of the epoch that is held here.
+
+    The table of outcomes checks its incarnation and mint index.
 
     Raises:
       NotOwner: This node holds no lease for the key.
-      TicketRequired: There is no ticket, or it is of another owner or time.
+      TicketRequired: There is no ticket, or it is of another epoch.
     """
     epoch = NO_EPOCH
     state = site.node.state
@@ -80,12 +82,7 @@
     if request.ticket is None:
         raise ticket_required(site, local, epoch, "the request has no ticket")
     ticket = tickets.parse_ticket(request.ticket)
-    current = outcomes.current_ticket(local.outcomes, state.cell, epoch)
-    if (ticket.cell, ticket.epoch, ticket.incarnation) != (
-        current.cell,
-        current.epoch,
-        current.incarnation,
-    ) or not outcomes.is_accepted(local.outcomes, ticket):
+    if (ticket.cell, ticket.epoch) != (state.cell, epoch):
         raise ticket_required(site, local, epoch, "the ticket is stale")
     return ticket
 
@@ -135,13 +132,15 @@
         request.request_class, request.deadline_s, exchange.fingerprint(request)
     )
     try:
-        with gate.admit(local.gate, work, check):
-            if is_keyed:
-                hotkeys.record(site.heat, request.point, site.now())
+        with gate.admit(local.gate, work, check) as admission:
+            if lease is not None:
+                hotkeys.record(site.heat, lease.item, request.point)
             answer = send(site, local, request, lease)
     finally:
         if lease is not None:
             membership.finish(state, request.point)
+    if admission.cleared:
+        crashes.report_cleared(site, work.fingerprint)
     return exchange.Reply(answer.status, answer.headers, answer.body)
 
 
--- a/packages/front/src/waxwinglever_front/site.py
+++ b/packages/front/src/waxwinglever_front/site.py
@@ -105,7 +105,7 @@
     hedgers: futures.ThreadPoolExecutor = attrs.Factory(
         lambda: futures.ThreadPoolExecutor(HEDGE_THREADS, "hedge")
     )
-    heat: hotkeys.Heat = attrs.Factory(hotkeys.Heat)
+    heat: hotkeys.HotKeys = attrs.Factory(hotkeys.HotKeys)
     held: threading.BoundedSemaphore = attrs.Factory(
         lambda: threading.BoundedSemaphore(MAX_HELD)
     )
--- a/packages/front/src/waxwinglever_front/status.py
+++ b/packages/front/src/waxwinglever_front/status.py
@@ -97,15 +97,8 @@
         "state": local.state,
         "announced_s": round(site.now() - local.heard_s, 3),
         "is_present": is_present(site),
-        **snap_values(snap),
-    }
-
-
-def snap_values(snap: gate.Snapshot) -> dict:
-    """Returns the gate's snapshot as JSON values."""
-    return {
         "in_flight": snap.in_flight,
-        "queued": snap.queued,
+        "queued": snap.waiting,
         "limit": snap.limit,
         "suspects": snap.suspects,
         "convicted": snap.convicted,
--- a/packages/front/src/waxwinglever_front/targets.py
+++ b/packages/front/src/waxwinglever_front/targets.py
@@ -75,12 +75,12 @@
     for line in directory.cells_of(
         site.lines, request.tenant, request.service
     ):
-        known = maps.get(site.cached, line.cell)
-        if known is None or known[1] < line.version:
+        known = maps.known_map(site.cached, line.cell)
+        if known is None or known.version < line.version:
             fetch(site, line)
-            known = maps.get(site.cached, line.cell)
+            known = maps.known_map(site.cached, line.cell)
         if known is not None:
-            found.append(known)
+            found.append((known.record, known.version))
     return found
 
 
@@ -96,8 +96,7 @@
 
 def fetch(site: sites.Site, line: cells.CellLine) -> None:
     """Gets the record of another cell from one of its nodes."""
-    known = maps.get(site.cached, line.cell)
-    known_version = known[1] if known is not None else 0
+    known_version = maps.known_version(site.cached, line.cell)
     addresses = [line.leader_address]
     addresses += [member.peer_address for member in line.members]
     request = messages.MapRequest(line.cell, known_version)
--- a/packages/ownership/src/waxwinglever_ownership/changes.py
+++ b/packages/ownership/src/waxwinglever_ownership/changes.py
@@ -1,5 +1,7 @@
 """The next change of a cell's record, as a decision of its leader."""
 
+import math
+
 import attrs
 
 from waxwinglever_model import cells
@@ -8,6 +10,13 @@
 from waxwinglever_ownership import leadership
 from waxwinglever_placement import plan
 from waxwinglever_placement import splits
+from waxwinglever_routing import hotkeys
+
+
+# Moves that even out load are planned this often; slices without an owner are
+# placed at once.
+BALANCE_INTERVAL_S = 5.0
+NOISE_DEVIATIONS = 3.0
 
 
 @attrs.frozen
@@ -133,16 +142,32 @@
         attrs.evolve(item, owner=cells.NO_OWNER) if item.ref in free else item
         for item in record.slices
     )
-    budget = max(0, rules.max_moves - len(leader.revoking))
-    moves = plan.plan_moves(view, nodes, loads, rules.move_cost, budget)
+    is_due = now >= leader.next_balance
+    budget = max(0, rules.max_moves - len(leader.revoking)) if is_due else 0
+    cost = max(rules.move_cost, sampling_noise(loads, len(nodes)))
+    moves = plan.plan_moves(view, nodes, loads, cost, budget)
     targets = {move.ref: move.to_node for move in moves}
     begin_handovers(leader, record, nodes, free, targets, now)
     assigned = assign(record, {ref: targets.get(ref) for ref in free})
-    if assigned != record:
+    if is_due:
+        leader.next_balance = now + BALANCE_INTERVAL_S
+    if assigned != record or not is_due:
         return assigned
     return resize(leader, record, loads)
 
 
+def sampling_noise(
+    loads: dict[cells.SliceRef, float], node_count: int
+) -> float:
+    """Returns by how much measured loads of equal nodes differ by chance.
+
+    Counts of a few seconds scatter by their square root; a gain below a few
+    deviations is no reason to move a slice.
+    """
+    counted = sum(loads.values()) / node_count * hotkeys.WINDOW_S
+    return NOISE_DEVIATIONS / math.sqrt(counted) if counted > 0 else 0.0
+
+
 def node_weight(
     leader: leadership.LeaderState,
     member: cells.Member,
@@ -266,6 +291,10 @@
         record.slices, loads, hot, len(record.members)
     )
     if cuts:
-        return splits.apply_splits(record, cuts)
-    merges = splits.plan_merges(record.slices, loads, len(record.members))
-    return splits.apply_merges(record, merges) if merges else record
+        resized = splits.apply_splits(record.slices, cuts)
+    else:
+        merges = splits.plan_merges(
+            record.slices, loads, len(record.members)
+        )
+        resized = splits.apply_merges(record.slices, merges)
+    return attrs.evolve(record, slices=resized)
--- a/packages/ownership/src/waxwinglever_ownership/configs.py
+++ b/packages/ownership/src/waxwinglever_ownership/configs.py
@@ -108,7 +108,7 @@
     with book.lock:
         current = book.configs[tenant]
     allowed = frozenset()
-    for rule in current.placement.services:
+    for rule in current.placement.rules:
         if rule.service == service:
             allowed = frozenset(rule.zones)
     return changes.Rules(
--- a/packages/ownership/src/waxwinglever_ownership/leadership.py
+++ b/packages/ownership/src/waxwinglever_ownership/leadership.py
@@ -70,6 +70,7 @@
       joins: Members that asked to be recorded, by node name.
       leaving: Members that asked to be removed.
       retired: Nodes that the operators declared lost.
+      next_balance: When load is evened out next, in seconds.
       stepped_down: Whether a higher term was seen; nothing is granted then.
     """
 
@@ -89,6 +90,7 @@
     joins: dict[str, cells.Member] = attrs.Factory(dict)
     leaving: set[str] = attrs.Factory(set)
     retired: frozenset[str] = frozenset()
+    next_balance: float = 0.0
     stepped_down: bool = False
     lock: threading.Condition = attrs.Factory(threading.Condition)
 
@@ -257,6 +259,13 @@
             note_advanced(leader, node, now)
 
 
+def step_down(leader: LeaderState) -> None:
+    """Ends a leadership: nothing is granted from here on."""
+    with leader.lock:
+        leader.stepped_down = True
+        leader.lock.notify_all()
+
+
 def is_silent(leader: LeaderState, node: str, now: float) -> bool:
     """Returns whether a member has not acknowledged for a lease time."""
     follower = leader.followers.get(node)
--- a/packages/ownership/src/waxwinglever_ownership/node.py
+++ b/packages/ownership/src/waxwinglever_ownership/node.py
@@ -158,18 +158,11 @@
         node.state.lock.notify_all()
     leader = node.leader
     if leader is not None:
-        step_down(leader)
+        leadership.step_down(leader)
     for thread in node.threads:
         thread.join()
 
 
-def step_down(leader: leadership.LeaderState) -> None:
-    """Ends a leadership: nothing is granted from here on."""
-    with leader.lock:
-        leader.stepped_down = True
-        leader.lock.notify_all()
-
-
 # Messages from other daemons.
 
 
@@ -530,7 +523,7 @@
                 if not leader.stepped_down:
                     leader.lock.wait(CHANGE_INTERVAL_S)
     finally:
-        step_down(leader)
+        leadership.step_down(leader)
         node.leader = None
         for thread in peers.values():
             thread.join()
@@ -673,7 +666,7 @@
                     leader.lock.wait(STORE_RETRY_S)
             continue
         except exceptions.Conflict:
-            step_down(leader)
+            leadership.step_down(leader)
             return
         log_assignments(node, leader.record, record)
         leadership.confirm_change(leader, version)
--- a/packages/routing/src/waxwinglever_routing/balancer.py
+++ b/packages/routing/src/waxwinglever_routing/balancer.py
@@ -29,6 +29,10 @@
 ABSENCE_S = 30.0
 # Latency that is assumed before the first answer; also the least one.
 FIRST_LATENCY_S = 0.001
+# A second try starts after this multiple of the typical latency, about the
+# 95th percentile of exponential service times.
+HEDGE_FACTOR = 3.0
+HEDGE_LEAST_S = 0.005
 # Draws before all nodes are looked at; avoided nodes are few.
 DRAWS = 8
 MAX_NODES = 1024
@@ -175,6 +179,12 @@
     return typical_s + (view.latency_s - typical_s) * trust
 
 
+def hedge_delay_s(balancer: Balancer) -> float:
+    """Returns how long a try may take before a second one is worth it."""
+    with balancer.lock:
+        return max(HEDGE_LEAST_S, HEDGE_FACTOR * balancer.typical_s)
+
+
 def started(balancer: Balancer, node: str) -> None:
     """Counts a request that is sent to a node."""
     with balancer.lock:
--- a/packages/routing/src/waxwinglever_routing/hotkeys.py
+++ b/packages/routing/src/waxwinglever_routing/hotkeys.py
@@ -17,6 +17,8 @@
 # minutes, and a few seconds of traffic tell a hot key from chance.
 HALF_LIFE_S = 5.0
 DECAY_PER_S = math.log(2) / HALF_LIFE_S
+# Seconds of requests that a decayed count adds up to.
+WINDOW_S = 1 / DECAY_PER_S
 # Counts are scaled down this often instead of on each request.
 DECAY_INTERVAL_S = 1.0
 # Loads in one acknowledgement; at about 40 bytes each they stay far below
--- a/packages/routing/src/waxwinglever_routing/maps.py
+++ b/packages/routing/src/waxwinglever_routing/maps.py
@@ -97,6 +97,16 @@
     return Target(member, item, known.version)
 
 
+def known_map(cache: MapCache, cell: str) -> CachedMap | None:
+    """Returns the cached record of a cell, or None when there is none."""
+    with cache.lock:
+        known = cache.maps.get(cell)
+        if known is None or known.record is None:
+            return None
+        cache.maps.move_to_end(cell)
+        return known
+
+
 def known_version(cache: MapCache, cell: str) -> int:
     """Returns the version of the cached record, or 0 when there is none."""
     with cache.lock:
