--- /dev/null
+++ b/packages/admission/src/waxwinglever_admission/tickets.py
@@ -0,0 +1,73 @@
+"""Tickets, which tie all tries of one request to one owner."""
+
+import re
+
+import attrs
+
+from waxwinglever_model import exceptions
+
+CELL = re.compile(r"[a-z0-9-]+(/[a-z0-9-]+){0,2}")
+INCARNATION = re.compile(r"[A-Za-z0-9-]{1,64}")
+# 18 digits keep both numbers within 64 bits.
+NUMBER = re.compile(r"0|[1-9][0-9]{0,17}")
+NUMBER_END = 10**18
+MAX_TICKET_CHARACTERS = 320
+SEPARATOR = ";"
+
+
+def valid_number(_, attribute: attrs.Attribute, value: int) -> None:
+    """Refuses a number that the text form can't hold."""
+    if not 0 <= value < NUMBER_END:
+        raise ValueError(f"{attribute.name} {value} is out of range")
+
+
+@attrs.frozen
+class Ticket:
+    """What an owner needs to know all tries of a request.
+
+    Attributes:
+      cell: Name of the cell.
+      epoch: Epoch of the slice under which the ticket was made.
+      incarnation: Incarnation of the owner.
+      mint: Index of the period in which the ticket was made.
+    """
+
+    cell: str = attrs.field(
+        validator=[
+            attrs.validators.max_len(192),
+            attrs.validators.matches_re(CELL),
+        ]
+    )
+    epoch: int = attrs.field(validator=valid_number)
+    incarnation: str = attrs.field(
+        validator=attrs.validators.matches_re(INCARNATION)
+    )
+    mint: int = attrs.field(validator=valid_number)
+
+
+def format_ticket(ticket: Ticket) -> str:
+    """Returns the text of a ticket."""
+    return SEPARATOR.join(
+        (ticket.cell, str(ticket.epoch), ticket.incarnation, str(ticket.mint))
+    )
+
+
+def parse_ticket(text: str) -> Ticket:
+    """Returns the ticket in `text`.
+
+    Raises:
+      BadRequest: The text is not a ticket.
+    """
+    try:
+        if len(text) > MAX_TICKET_CHARACTERS:
+            raise ValueError(f"it has {len(text)} characters")
+        cell, epoch, incarnation, mint = text.split(SEPARATOR)
+        if not NUMBER.fullmatch(epoch) or not NUMBER.fullmatch(mint):
+            raise ValueError("its epoch or mint index is not a number")
+        return Ticket(cell, int(epoch), incarnation, int(mint))
+    except ValueError as error:
+        raise exceptions.BadRequest(
+            f"ticket {text[:64]!r} is malformed",
+            "send the ticket of an earlier answer unchanged, or none to get a"
+            " new one",
+        ) from error
--- /dev/null
+++ b/packages/admission/tests/test_queueing.py
@@ -0,0 +1,66 @@
+"""Tests of waxwinglever_admission.queueing."""
+
+import collections
+
+import hypothesis
+import testtools
+from hypothesis import strategies
+
+from waxwinglever_admission import queueing
+
+
+def serve(queue: queueing.Queue) -> str:
+    place = queueing.head(queue)
+    queueing.remove(queue, place)
+    queueing.charge(queue, place.request_class)
+    return place.item
+
+
+class QueueingTest(testtools.TestCase):
+    """Guards against classes that starve or take more than their share."""
+
+    def test_shares_follow_the_weights(self):
+        queue = queueing.Queue({"a": 3.0, "b": 1.0})
+        for i in range(40):
+            queueing.push(queue, "ab"[i % 2], 1.0, "ab"[i % 2])
+        served = collections.Counter(serve(queue) for _ in range(20))
+        self.assertEqual({"a": 15, "b": 5}, dict(served))
+
+    def test_an_idle_class_does_not_save_up(self):
+        queue = queueing.Queue({})
+        for i in range(20):
+            queueing.push(queue, "a", i, "a")
+        for _ in range(10):
+            serve(queue)
+        for i in range(10):
+            queueing.push(queue, "b", i, "b")
+        served = collections.Counter(serve(queue) for _ in range(10))
+        self.assertEqual({"a": 5, "b": 5}, dict(served))
+
+    @hypothesis.given(strategies.lists(strategies.integers(0, 5)))
+    def test_deadlines_order_a_class_and_ties_keep_their_order(self, deadlines):
+        queue = queueing.Queue({})
+        for i, deadline_s in enumerate(deadlines):
+            queueing.push(queue, "a", deadline_s, (deadline_s, i))
+        served = [serve(queue) for _ in deadlines]
+        self.assertEqual(sorted(served), served)
+        self.assertEqual((0, {}), (queue.size, queue.lanes))
+
+    def test_who_gives_way_in_a_full_queue(self):
+        for waiting, new, victim in (
+            ("aaaa", "b", "a"),
+            ("aaaa", "a", None),
+            ("aabb", "a", None),
+            ("aabb", "c", "a"),
+            ("aaab", "b", "a"),
+            ("hhhh", "a", None),
+            ("", "a", None),
+        ):
+            queue = queueing.Queue({"h": 9.0})
+            for i, name in enumerate(waiting):
+                queueing.push(queue, name, i, name)
+            place = queueing.displaced(queue, new)
+            self.assertEqual(victim, place and place.item, (waiting, new))
+            if place:
+                latest = waiting.rindex(victim)
+                self.assertEqual(latest, place.deadline_s)
