--- a/packages/admission/src/waxwinglever_admission/gate.py
+++ b/packages/admission/src/waxwinglever_admission/gate.py
@@ -408,6 +408,18 @@
         apply(gate, suspects, convicted, cleared)
 
 
+def set_policy(gate: Gate, policy: Policy) -> None:
+    """Takes new limits into force; requests in flight go on.
+
+    A ramp under way goes on from its start with the new values.
+    """
+    with gate.lock:
+        gate.policy = policy
+        gate.ordinary.weights = policy.weights
+        gate.suspects.weights = policy.weights
+        dispatch(gate)
+
+
 def close(gate: Gate) -> None:
     """Refuses new and waiting work; what is in flight goes on."""
     with gate.lock:
--- a/packages/daemon/src/waxwinglever_daemon/assembly.py
+++ b/packages/daemon/src/waxwinglever_daemon/assembly.py
@@ -189,28 +189,15 @@
 ) -> sites.Local:
     """Returns the gate and the calls for a backend server."""
     site = daemon.site
-    service = configs.service_of(
-        site.book, announcement.tenant, announcement.service
-    )
-    weights = {}
-    cold_slots, cold_s = DEFAULT_COLD_SLOTS, DEFAULT_COLD_S
-    if service is not None:
-        weights = {item.name: item.weight for item in service.classes}
-        cold_slots = service.cold_start.initial_slots
-        cold_s = service.cold_start.seconds
-    policy = gate.Policy(
-        slots=announcement.slots,
-        queue_limit=QUEUE_LIMIT,
-        cold_start_slots=min(cold_slots, announcement.slots),
-        cold_start_s=cold_s,
-        weights=weights,
-    )
     return sites.Local(
         address=announcement.address,
+        slots=announcement.slots,
         calls=backend_http.http_backend(
             announcement.address, connections=announcement.connections
         ),
-        gate=gate.Gate(policy, site.now),
+        gate=gate.Gate(
+            make_policy(site, site.node, announcement.slots), site.now
+        ),
         outcomes=outcomes.Outcomes(site.me.incarnation, site.now),
         heard_s=site.now(),
         state=announcement.state,
@@ -218,13 +205,59 @@
     )
 
 
+def make_policy(
+    site: sites.Site, node: ownership_node.CellNode, slots: int
+) -> gate.Policy:
+    """Returns the gate's limits: what is announced, within what is configured.
+
+    Until a configuration names the service, the default cold start applies.
+    """
+    service = configs.service_of(site.book, node.tenant, node.service)
+    if service is None:
+        return gate.Policy(
+            slots=slots,
+            queue_limit=QUEUE_LIMIT,
+            cold_start_slots=min(DEFAULT_COLD_SLOTS, slots),
+            cold_start_s=DEFAULT_COLD_S,
+        )
+    slots = min(slots, service.slots)
+    return gate.Policy(
+        slots=slots,
+        queue_limit=QUEUE_LIMIT,
+        cold_start_slots=min(service.cold_start.initial_slots, slots),
+        cold_start_s=service.cold_start.seconds,
+        weights={item.name: item.weight for item in service.classes},
+    )
+
+
+def apply_config(site: sites.Site) -> None:
+    """Brings the gate and the metrics in line with the configuration."""
+    with site.book.lock:
+        current = list(site.book.configs.values())
+    for item in current:
+        for service in item.services:
+            names = tuple(each.name for each in service.classes)
+            site.metrics.set_classes(item.tenant, service.name, names)
+    if site.local is not None:
+        policy = make_policy(site, site.node, site.local.slots)
+        gate.set_policy(site.local.gate, policy)
+
+
 def watch_backend(daemon: Daemon) -> None:
-    """Hands the slices back while the backend server is absent or frozen."""
+    """Hands the slices back while the backend server is absent or frozen.
+
+    It also brings the gate in line with the configuration.
+    """
     site = daemon.site
+    applied: dict[str, int] = {}
     while not site.stopping.wait(WATCH_INTERVAL_S):
         node = site.node
         if node is None:
             continue
+        accepted = configs.generations(site.book)
+        if accepted != applied and site.local is not None:
+            apply_config(site)
+            applied = accepted
         is_gone = not status.is_present(site) or is_frozen(site)
         with node.state.lock:
             should_drain = is_gone or node.leaving
--- a/packages/front/src/waxwinglever_front/site.py
+++ b/packages/front/src/waxwinglever_front/site.py
@@ -39,6 +39,7 @@
 
     Attributes:
       address: host:port of the backend server.
+      slots: Requests that it announced to run at once.
       calls: Calls to it.
       gate: The only place of admission to it.
       outcomes: Outcomes of non-idempotent requests with an id.
@@ -49,6 +50,7 @@
     """
 
     address: str
+    slots: int
     calls: backend_calls.BackendCalls
     gate: gate.Gate
     outcomes: outcomes.Outcomes
