Add the store's client and a stand-in store

One contract suite runs on the calls in memory and over HTTP. A watch of a deleted key goes on waiting, because its result could not be told from the end of the time.

--- a/packages/backend/src/waxwinglever_backend/__init__.py
+++ b/packages/backend/src/waxwinglever_backend/__init__.py
@@ -1,1 +1,4 @@
-"""Client for the backend server beside the daemon."""
+"""Client for the backend server beside the daemon.
+
+Public modules: calls, http.
+"""
--- /dev/null
+++ b/packages/standins/src/waxwinglever_standins/memory.py
@@ -0,0 +1,75 @@
+"""The store's calls on a stand-in store in the same process, for tests."""
+
+import contextlib
+import time
+from collections.abc import Iterator
+
+from waxwinglever_model import exceptions
+from waxwinglever_model import limits
+from waxwinglever_standins import serving
+from waxwinglever_standins import store as store_state
+from waxwinglever_store import calls
+
+
+def memory_store(
+    store: store_state.Store | None = None,
+    client: str = "127.0.0.1",
+    timeout_s: float = limits.STORE_TIMEOUT_S,
+) -> calls.StoreCalls:
+    """Returns calls that work on `store` directly.
+
+    Args:
+      store: The shared state, with its fault switches; by default an empty
+        store of its own.
+      client: IP number that the blocked_clients switch applies to.
+      timeout_s: Bound of a call that a fault leaves without an answer.
+    """
+    store = store or store_state.new_store()
+
+    @contextlib.contextmanager
+    def translated(kind: str) -> Iterator[None]:
+        delay_s = store.faults.slow_s
+        try:
+            store_state.admit(store, client, kind)
+            yield
+        except store_state.OverRate as error:
+            raise exceptions.StoreUnavailable(
+                "the store is over its rate limit", "call it less often"
+            ) from error
+        except store_state.NoAnswer as error:
+            if error.mode == serving.HANG:
+                time.sleep(max(0.0, timeout_s - delay_s))
+            raise unavailable(error.mode) from error
+        if delay_s >= timeout_s:
+            raise unavailable("slow")
+
+    def get(key: str) -> calls.Entry | None:
+        with translated(store_state.READ):
+            return store_state.get(store, key)
+
+    def compare_and_swap(key: str, value: str, expected_version: int) -> int:
+        with translated(store_state.WRITE):
+            return store_state.compare_and_swap(
+                store, key, value, expected_version
+            )
+
+    def list_prefix(prefix: str) -> list[calls.Entry]:
+        with translated(store_state.READ):
+            return store_state.list_prefix(store, prefix)
+
+    def watch(
+        key: str, known_version: int, watch_s: float
+    ) -> calls.Entry | None:
+        with translated(store_state.READ):
+            return store_state.watch(store, client, key, known_version, watch_s)
+
+    return calls.StoreCalls(
+        get, compare_and_swap, list_prefix, watch, lambda: None
+    )
+
+
+def unavailable(why: str) -> exceptions.StoreUnavailable:
+    """Returns the error for a call that a fault leaves without an answer."""
+    return exceptions.StoreUnavailable(
+        f"the store did not answer: {why}", "try again"
+    )
--- a/packages/store/src/waxwinglever_store/__init__.py
+++ b/packages/store/src/waxwinglever_store/__init__.py
@@ -1,1 +1,4 @@
-"""Client for the platform's key-value store."""
+"""Client for the platform's key-value store.
+
+Public modules: calls, http.
+"""
--- /dev/null
+++ b/packages/store/tests/test_http.py
@@ -0,0 +1,264 @@
+"""Tests of waxwinglever_store.http: one contract for both implementations."""
+
+import threading
+
+import testtools
+
+from waxwinglever_model import exceptions
+from waxwinglever_model import limits
+from waxwinglever_standins import memory
+from waxwinglever_standins import serving
+from waxwinglever_standins import store as store_state
+from waxwinglever_standins import store_http
+from waxwinglever_store import http
+
+ADDRESS = "127.0.0.1:17501"
+NOBODY = "127.0.0.1:17502"
+CLIENT = "127.0.0.2"
+TIMEOUT_S = 0.3
+LONG_S = 30.0
+# Each row: the switches, and whether a write under them takes effect.
+FAULTS = (
+    ({"down": True}, False),
+    ({"down": True, "down_mode": "hang"}, False),
+    ({"blocked_clients": ["127.0.0.9", CLIENT]}, False),
+    ({"lose_answers": 1}, True),
+    ({"lose_answers": 1, "lose_mode": "hang"}, True),
+    ({"slow_s": 2 * TIMEOUT_S}, True),
+)
+
+
+class MemoryStoreTest(testtools.TestCase):
+    """Guards against lost updates and against wrong claims under faults."""
+
+    def setUp(self):
+        super().setUp()
+        self.state = store_state.new_store()
+        self.addCleanup(store_state.close, self.state)
+        self.calls = self.open_calls()
+        self.addCleanup(self.calls.close)
+
+    def open_calls(self):
+        return memory.memory_store(self.state, CLIENT, TIMEOUT_S)
+
+    def test_a_read_returns_the_last_write(self):
+        self.assertIs(None, self.calls.get("a/b"))
+        first = self.calls.compare_and_swap("a/b", "één", 0)
+        second = self.calls.compare_and_swap("a/b", "x" * 70_000, first)
+        self.assertTrue(second > first)
+        entry = self.calls.get("a/b")
+        self.assertEqual(("a/b", "x" * 70_000, second), tuple_of(entry))
+
+    def test_keys_with_special_characters_stay_apart(self):
+        keys = ("a b", "a%20b", "a+b", "a?b=c&d", "a#b", "ключ")
+        for key in keys:
+            self.calls.compare_and_swap(key, key, 0)
+        for key in keys:
+            self.assertEqual(key, self.calls.get(key).value)
+
+    def test_another_version_is_a_conflict_and_changes_nothing(self):
+        version = self.calls.compare_and_swap("k", "v", 0)
+        for expected in (0, version + 1):
+            self.assertRaises(
+                exceptions.Conflict,
+                self.calls.compare_and_swap,
+                "k",
+                "w",
+                expected,
+            )
+        self.assertEqual("v", self.calls.get("k").value)
+
+    def test_one_of_many_concurrent_writers_wins(self):
+        results = []
+
+        def write(value):
+            try:
+                results.append(self.calls.compare_and_swap("k", value, 0))
+            except exceptions.Conflict:
+                results.append(0)
+
+        threads = [
+            threading.Thread(target=write, args=(str(i),)) for i in range(8)
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        self.assertEqual(8, len(results))
+        self.assertEqual(7, results.count(0))
+
+    def test_a_version_is_not_reused_after_a_lease_ended(self):
+        now_s = [self.state.now()]
+        self.state.now = lambda: now_s[0]
+        version = store_state.compare_and_swap(self.state, "k", "v", 0, 5.0)
+        now_s[0] += 6.0
+        self.assertIs(None, self.calls.get("k"))
+        again = self.calls.compare_and_swap("k", "v", 0)
+        self.assertTrue(again > version)
+
+    def test_a_list_has_exactly_the_keys_of_the_prefix(self):
+        for key in ("p/a", "p/b", "q/a", "p"):
+            self.calls.compare_and_swap(key, key, 0)
+        found = [entry.key for entry in self.calls.list_prefix("p/")]
+        self.assertEqual(["p/a", "p/b"], found)
+
+    def test_the_size_limit(self):
+        largest = "x" * limits.MAX_RECORD_BYTES
+        self.calls.compare_and_swap("k", largest, 0)
+        self.assertEqual(largest, self.calls.get("k").value)
+        self.assertRaises(
+            exceptions.InvalidInput,
+            self.calls.compare_and_swap,
+            "l",
+            largest + "x",
+            0,
+        )
+
+    def test_a_watch_returns_at_once_for_another_version(self):
+        version = self.calls.compare_and_swap("k", "v", 0)
+        entry = self.calls.watch("k", 0, LONG_S)
+        self.assertEqual(version, entry.version)
+
+    def test_a_watch_ends_without_a_change(self):
+        version = self.calls.compare_and_swap("k", "v", 0)
+        self.assertIs(None, self.calls.watch("k", version, 0.05))
+        self.assertIs(None, self.calls.watch("absent", 3, 0.05))
+
+    def test_a_waiting_watch_sees_the_write(self):
+        version = self.calls.compare_and_swap("k", "v", 0)
+        found = []
+        thread = threading.Thread(
+            target=lambda: found.append(self.calls.watch("k", version, LONG_S))
+        )
+        thread.start()
+        self.wait_for_watch()
+        self.calls.compare_and_swap("other", "v", 0)
+        self.calls.compare_and_swap("k", "w", version)
+        thread.join()
+        self.assertEqual("w", found[0].value)
+
+    def test_a_waiting_watch_fails_when_the_store_goes_down(self):
+        errors = []
+
+        def watch():
+            try:
+                self.calls.watch("k", 0, LONG_S)
+            except exceptions.StoreUnavailable as error:
+                errors.append(error)
+
+        thread = threading.Thread(target=watch)
+        thread.start()
+        self.wait_for_watch()
+        store_state.set_faults(self.state, {"down": True})
+        thread.join()
+        self.assertEqual(1, len(errors))
+
+    def wait_for_watch(self):
+        """Waits until the store has a watch."""
+        reached = threading.Event()
+        while not self.state.counters.watches:
+            reached.wait(0.01)
+
+    def test_faults_of_writes(self):
+        for i, (faults, takes_effect) in enumerate(FAULTS):
+            key = f"k{i}"
+            store_state.set_faults(self.state, faults)
+            self.assertRaises(
+                exceptions.StoreUnavailable,
+                self.calls.compare_and_swap,
+                key,
+                "v",
+                0,
+            )
+            self.settle(key if takes_effect else None)
+            self.state.faults = store_state.Faults()
+            entry = self.calls.get(key)
+            self.assertEqual(takes_effect, entry is not None, faults)
+
+    def settle(self, key):
+        """Waits until a delayed write has taken effect."""
+        pause = threading.Event()
+        while key is not None and key not in self.state.entries:
+            pause.wait(0.01)
+
+    def test_faults_of_reads(self):
+        for faults, _ in FAULTS:
+            if "lose_answers" in faults:
+                continue
+            store_state.set_faults(self.state, faults)
+            for call, arguments in (
+                (self.calls.get, ("k",)),
+                (self.calls.list_prefix, ("k",)),
+            ):
+                self.assertRaises(exceptions.StoreUnavailable, call, *arguments)
+            self.state.faults = store_state.Faults()
+
+    def test_a_stale_read_does_not_weaken_a_write(self):
+        first = self.calls.compare_and_swap("k", "old", 0)
+        second = self.calls.compare_and_swap("k", "new", first)
+        store_state.set_faults(self.state, {"stale_reads": True})
+        self.assertEqual("old", self.calls.get("k").value)
+        self.assertRaises(
+            exceptions.Conflict, self.calls.compare_and_swap, "k", "x", first
+        )
+        self.calls.compare_and_swap("k", "newer", second)
+
+    def test_calls_over_the_rate_get_an_error_with_a_remedy(self):
+        self.state.now = lambda: 0.0
+        for bucket in self.state.buckets.values():
+            bucket.tokens, bucket.filled_s = 1.0, 0.0
+        self.calls.compare_and_swap("k", "v", 0)
+        self.calls.get("k")
+        for call, arguments in (
+            (self.calls.compare_and_swap, ("k", "v", 1)),
+            (self.calls.get, ("k",)),
+            (self.calls.watch, ("k", 0, LONG_S)),
+        ):
+            error = self.assertRaises(
+                exceptions.StoreUnavailable, call, *arguments
+            )
+            self.assertIn("less often", error.remedy)
+        self.assertEqual(3, self.state.counters.over_rate)
+
+
+class HttpStoreTest(MemoryStoreTest):
+    """The same contract over HTTP."""
+
+    def open_calls(self):
+        handle = store_http.handler(self.state)
+        server = serving.serve(ADDRESS, handle, threads=12)
+        self.addCleanup(server.close)
+        self.addCleanup(store_state.close, self.state)
+        return http.http_store(ADDRESS, CLIENT, TIMEOUT_S)
+
+
+class HttpFailureTest(testtools.TestCase):
+    """Guards against untyped errors from servers that misbehave."""
+
+    def test_no_server_is_a_typed_error(self):
+        calls = http.http_store(NOBODY)
+        self.addCleanup(calls.close)
+        self.assertRaises(exceptions.StoreUnavailable, calls.get, "k")
+
+    def test_malformed_answers(self):
+        bodies = (b"", b"junk", b"[]", b"{}", b'{"key": "k"}', b"\xff", b"null")
+        answer = []
+        server = serving.serve(
+            ADDRESS, lambda request: serving.Response(200, answer[0]), 2
+        )
+        self.addCleanup(server.close)
+        calls = http.http_store(ADDRESS)
+        self.addCleanup(calls.close)
+        for body in bodies:
+            answer[:] = [body]
+            for call, arguments in (
+                (calls.get, ("k",)),
+                (calls.compare_and_swap, ("k", "v", 0)),
+                (calls.list_prefix, ("k",)),
+                (calls.watch, ("k", 0, 0.1)),
+            ):
+                self.assertRaises(exceptions.StoreUnavailable, call, *arguments)
+
+
+def tuple_of(entry):
+    return (entry.key, entry.value, entry.version)
