Add the backend server's client and a stand-in backend server

http.client takes the end of the connection for the end of the headers, so an answer that was cut there passed for a complete one with an empty body. The client now refuses such answers, and those that state no length, as broken.

--- a/packages/backend/src/waxwinglever_backend/http.py
+++ b/packages/backend/src/waxwinglever_backend/http.py
@@ -7,6 +7,7 @@
 import typing
 import urllib.parse
 
+import attrs
 import urllib3
 import urllib3.connection
 
@@ -36,6 +37,7 @@
         "upgrade",
     )
 )
+NO_BODY_STATUSES = (204, 304)
 # Errors that prove that no byte of the order was sent.
 NEVER_SENT = (
     urllib3.exceptions.NewConnectionError,
@@ -44,9 +46,45 @@
 )
 
 
+@attrs.define(eq=False)
+class LineReader:
+    """Keeps the last line that was read; stands in for a response's file."""
+
+    file: typing.BinaryIO
+    last_line: bytes = b""
+
+    def readline(self, limit: int = -1) -> bytes:
+        self.last_line = self.file.readline(limit)
+        return self.last_line
+
+    def close(self) -> None:
+        self.file.close()
+
+
+class CompleteResponse(http.client.HTTPResponse):
+    """A response whose header block must be complete.
+
+    http.client takes the end of the connection for the end of the headers,
+    so that an answer cut there would look like a complete one.
+    """
+
+    def begin(self) -> None:
+        reader = LineReader(self.fp)
+        self.fp = reader
+        try:
+            super().begin()
+        finally:
+            # begin() has closed the file of an answer without a body.
+            if self.fp is reader:
+                self.fp = reader.file
+        if reader.last_line not in (b"\r\n", b"\n"):
+            raise http.client.IncompleteRead(reader.last_line)
+
+
 class FreshConnection(urllib3.connection.HTTPConnection):
     """A connection that counts as dropped once it was idle for too long."""
 
+    response_class = CompleteResponse
     last_used_s = 0.0
 
     def request(self, *args: typing.Any, **kwargs: typing.Any) -> None:
@@ -102,6 +140,7 @@
                 decode_content=False,
             )
             body = read_body(response, deadline_s, limits.MAX_BODY_BYTES)
+            check_length_stated(order, response)
         except (urllib3.exceptions.HTTPError, ValueError) as error:
             raise send_failure(address, error) from error
         headers = tuple(
@@ -206,6 +245,20 @@
     return b"".join(parts)
 
 
+def check_length_stated(
+    order: calls.Order, response: urllib3.BaseHTTPResponse
+) -> None:
+    """Raises HTTPError for a body that only the end of the connection ends.
+
+    Such a body can't be told from one that was cut.
+    """
+    if order.method == "HEAD" or response.status in NO_BODY_STATUSES:
+        return
+    coding = response.headers.get("Transfer-Encoding", "").lower()
+    if coding != "chunked" and "Content-Length" not in response.headers:
+        raise urllib3.exceptions.HTTPError("the answer states no length")
+
+
 def send_failure(address: str, error: Exception) -> exceptions.Refusal:
     """Returns the refusal for an order that got no complete answer.
 
--- /dev/null
+++ b/packages/standins/src/waxwinglever_standins/backend_main.py
@@ -0,0 +1,90 @@
+"""Program of the stand-in backend server."""
+
+import random
+import threading
+
+import click
+
+from waxwinglever_model import exceptions
+from waxwinglever_standins import backend as backend_state
+from waxwinglever_standins import backend_http
+from waxwinglever_standins import serving
+
+# Cancellations and health checks get through while all connections are busy.
+CONTROL_THREADS = 4
+
+
+@click.command()
+@click.option("--listen", required=True, help="host:port to listen on.")
+@click.option("--daemon", help="host:port of the daemon to announce to.")
+@click.option("--tenant", required=True)
+@click.option("--service", required=True)
+@click.option("--slots", default=10, show_default=True)
+@click.option("--connections", default=100, show_default=True)
+@click.option("--service-ms", default=5.0, show_default=True)
+@click.option("--checks-fences/--no-checks-fences", default=True)
+@click.option("--cold-start-s", default=0.0, show_default=True)
+@click.option("--cold-slots", default=2, show_default=True)
+@click.option("--cold-crash/--no-cold-crash", default=False)
+@click.option("--seed", default=1, show_default=True)
+def main(
+    listen: str,
+    daemon: str | None,
+    tenant: str,
+    service: str,
+    slots: int,
+    connections: int,
+    service_ms: float,
+    checks_fences: bool,
+    cold_start_s: float,
+    cold_slots: int,
+    cold_crash: bool,
+    seed: int,
+) -> None:
+    """Runs a stand-in for a backend server until SIGTERM."""
+    try:
+        settings = backend_state.Settings(
+            slots,
+            service_ms / 1000,
+            checks_fences,
+            cold_start_s,
+            cold_slots,
+            cold_crash,
+        )
+        backend = backend_state.Backend(settings, rng=random.Random(seed))
+        server = serving.serve(
+            listen,
+            backend_http.handler(backend),
+            connections + CONTROL_THREADS,
+        )
+    except (exceptions.InvalidInput, ValueError) as error:
+        raise click.ClickException(str(error)) from error
+
+    def announcement() -> dict:
+        return {
+            "tenant": tenant,
+            "service": service,
+            "address": listen,
+            "boot_id": backend.boot_id,
+            "slots": slots,
+            "connections": connections,
+            "checks_fences": checks_fences,
+            "state": backend_state.state_of(backend),
+        }
+
+    stopped = threading.Event()
+    if daemon:
+        threading.Thread(
+            target=backend_http.announce,
+            args=(daemon, announcement, stopped),
+            name="announce",
+            daemon=True,
+        ).start()
+    serving.wait_for_signal()
+    stopped.set()
+    backend_state.stop_all(backend)
+    server.close()
+
+
+if __name__ == "__main__":
+    main()  # pylint: disable=no-value-for-parameter  # click passes them
--- /dev/null
+++ b/packages/standins/tests/test_backend_http.py
@@ -0,0 +1,90 @@
+"""Tests of waxwinglever_standins.backend_http."""
+
+import json
+import threading
+
+import testtools
+
+from waxwinglever_standins import backend as backend_state
+from waxwinglever_standins import backend_http
+from waxwinglever_standins import serving
+
+DAEMON = "127.0.0.1:17521"
+BAD_FAULTS = (
+    b"junk",
+    b"[]",
+    b'{"unknown": 1}',
+    b'{"slow_factor": -1}',
+    b'{"slow_factor": "x"}',
+    b'{"load_lies": 1}',
+)
+
+
+def request(method, path, body=b"", **query):
+    return serving.Request(method, path, query, {}, body, "127.0.0.1")
+
+
+class LoadTest(testtools.TestCase):
+    """Guards against a load report that is more honest than a real one."""
+
+    def load(self, backend, faults):
+        backend_state.set_faults(backend, faults)
+        handle = backend_http.handler(backend)
+        answer = handle(request("GET", "/_backend/load"))
+        return json.loads(answer.body)["running"]
+
+    def test_the_load_lags_or_lies(self):
+        backend = backend_state.Backend()
+        backend_state.begin(backend, backend_state.Work("c"))
+        self.assertEqual(1, self.load(backend, {}))
+        self.assertEqual(0, self.load(backend, {"load_lag_s": 3600}))
+        self.assertEqual(1, self.load(backend, {"load_lag_s": 0}))
+        self.assertEqual(0, self.load(backend, {"load_lies": True}))
+
+
+class FaultsTest(testtools.TestCase):
+    """Guards against a bench that sets a switch without effect."""
+
+    def test_bad_switches_are_refused_and_change_nothing(self):
+        backend = backend_state.Backend()
+        handle = backend_http.handler(backend)
+        for body in BAD_FAULTS:
+            answer = handle(request("PUT", "/_backend/faults", body))
+            self.assertEqual(400, answer.status, body)
+            self.assertEqual(backend_state.Faults(), backend.faults)
+
+    def test_the_slow_factor_multiplies_the_service_time(self):
+        backend = backend_state.Backend()
+        backend_state.set_faults(backend, {"slow_factor": 3})
+        work = backend_state.Work("c", service_s=2.0)
+        self.assertEqual(6.0, backend_state.service_time(backend, work))
+
+
+class AnnounceTest(testtools.TestCase):
+    """Guards against a server that gives up on a daemon that is down."""
+
+    def test_a_failed_announcement_is_tried_again(self):
+        self.patch(backend_http, "ANNOUNCE_INTERVAL_S", 0.01)
+        stopped, tried, received = (threading.Event() for _ in range(3))
+        bodies = []
+
+        def document():
+            tried.set()
+            return {"boot_id": "b"}
+
+        def handle(request_):
+            bodies.append((request_.path, json.loads(request_.body)))
+            received.set()
+            return serving.Response()
+
+        thread = threading.Thread(
+            target=backend_http.announce, args=(DAEMON, document, stopped)
+        )
+        thread.start()
+        self.addCleanup(thread.join)
+        self.addCleanup(stopped.set)
+        tried.wait()
+        server = serving.serve(DAEMON, handle, 2)
+        self.addCleanup(server.close)
+        received.wait()
+        self.assertEqual(("/announce", {"boot_id": "b"}), bodies[0])
