--- a/packages/bench/src/waxwinglever_bench/demo.py
+++ b/packages/bench/src/waxwinglever_bench/demo.py
@@ -28,7 +28,7 @@
 class Report:
     """What the demo checked; `failures` must stay empty."""
 
-    failures: list[str] = attrs.Factory(list)
+    failures: list[str] = attrs.field(factory=list)
 
 
 def run(folder: pathlib.Path, seed: int) -> bool:
--- a/packages/bench/src/waxwinglever_bench/exploration.py
+++ b/packages/bench/src/waxwinglever_bench/exploration.py
@@ -129,7 +129,7 @@
 
     rng: random.Random
     store: Store
-    nodes: dict[str, Node] = attrs.Factory(dict)
+    nodes: dict[str, Node] = attrs.field(factory=dict)
     now: float = 0.0
     queue: list = attrs.Factory(list)
     numbers: Iterator[int] = attrs.Factory(itertools.count)
--- a/packages/bench/src/waxwinglever_bench/fleet.py
+++ b/packages/bench/src/waxwinglever_bench/fleet.py
@@ -59,6 +59,11 @@
         return f"{self.host}:{BACKEND_PORT}"
 
 
+def new_pool() -> urllib3.PoolManager:
+    """Returns a pool for the requests of the bench."""
+    return urllib3.PoolManager(num_pools=256, maxsize=64, retries=False)
+
+
 @attrs.define(eq=False)
 class Fleet:
     """Running processes.
@@ -75,9 +80,7 @@
     vms: dict[str, Vm]
     processes: dict[str, subprocess.Popen] = attrs.Factory(dict)
     backend_options: tuple[str, ...] = ()
-    http: urllib3.PoolManager = attrs.Factory(
-        lambda: urllib3.PoolManager(num_pools=256, maxsize=64, retries=False)
-    )
+    http: urllib3.PoolManager = attrs.field(factory=new_pool)
 
     @property
     def store_address(self) -> str:
@@ -179,6 +182,7 @@
     """Starts a program of this workspace; its output goes to a file."""
     log = fleet.folder / (name.replace("/", "-") + ".log")
     with log.open("ab") as output:
+        # pylint: disable-next=consider-using-with
         fleet.processes[name] = subprocess.Popen(
             [sys.executable, "-m", module, *options],
             stdout=output,
--- a/packages/cli/src/waxwinglever_cli/settings.py
+++ b/packages/cli/src/waxwinglever_cli/settings.py
@@ -3,7 +3,6 @@
 import contextlib
 import re
 import time
-import typing
 from collections.abc import Callable
 from collections.abc import Iterator
 
--- a/packages/cli/src/waxwinglever_cli/writes.py
+++ b/packages/cli/src/waxwinglever_cli/writes.py
@@ -6,7 +6,6 @@
 import attrs
 
 from waxwinglever_cli import exits
-from waxwinglever_cli import settings as settings_module
 from waxwinglever_model import exceptions
 from waxwinglever_records import config
 from waxwinglever_records import schemas
--- a/packages/daemon/src/waxwinglever_daemon/main.py
+++ b/packages/daemon/src/waxwinglever_daemon/main.py
@@ -136,4 +136,4 @@
 
 
 if __name__ == "__main__":
-    main()
+    main()  # pylint: disable=no-value-for-parameter  # click passes them
--- a/packages/daemon/src/waxwinglever_daemon/settings.py
+++ b/packages/daemon/src/waxwinglever_daemon/settings.py
@@ -73,8 +73,8 @@
     settings file is an error.
     """
     is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
-    is_right = is_number if kind is float else type(value) is kind
-    if not is_right:
+    is_right = is_number if kind is float else isinstance(value, kind)
+    if not is_right or isinstance(value, bool) != (kind is bool):
         raise ValueError(f"must be {kind.__name__}, not {value!r}")
     return kind(value)
 
