--- a/packages/bench/src/waxwinglever_bench/main.py
+++ b/packages/bench/src/waxwinglever_bench/main.py
@@ -6,6 +6,7 @@
 import click
 
 from waxwinglever_bench import demo as demos
+from waxwinglever_bench import slopes as slopes_module
 
 BUILD = pathlib.Path("build")
 
@@ -22,5 +23,20 @@
     sys.exit(0 if demos.run(BUILD / "demo", seed) else 1)
 
 
+@main.command()
+@click.option("--members", "sizes", multiple=True, default=(10, 30))
+@click.option("--seconds", default=20.0, show_default=True)
+@click.option("--network", default=40, show_default=True)
+def slopes(sizes: tuple[int, ...], seconds: float, network: int) -> None:
+    """Measures what control costs a daemon, by the size of its cell."""
+    for size in sizes:
+        for cost in slopes_module.measure(int(size), seconds, network):
+            click.echo(
+                f"{cost.role} of {cost.members}: {cost.cpu_percent:.2f}% of a"
+                f" core, {cost.rss_mb:.1f} MB, {cost.kb_per_s:.2f} KB/s,"
+                f" {cost.threads:.0f} threads"
+            )
+
+
 if __name__ == "__main__":
     main()
--- a/packages/daemon/src/waxwinglever_daemon/assembly.py
+++ b/packages/daemon/src/waxwinglever_daemon/assembly.py
@@ -65,6 +65,7 @@
       InvalidInput: The peer address can't be bound.
     """
     cuts = faults.Cuts()
+    traffic = links.Traffic()
     host = settings.http_address.rpartition(":")[0]
     log = logs.logger()
     site = sites.Site(
@@ -77,10 +78,11 @@
         ),
         book=configs.ConfigBook(),
         lines=directory.Directory(),
-        peers=faults.cut_calls(links.pynng_calls(), cuts),
+        peers=faults.cut_calls(links.pynng_calls(traffic), cuts),
         forward=faults.cut_forward(forward.http_forward(host), cuts),
         metrics=metrics.Metrics(),
         log=log.info,
+        traffic=traffic,
     )
     daemon = Daemon(
         settings=settings,
@@ -94,6 +96,7 @@
         settings.peer_address,
         lambda message: handle(daemon, message),
         lambda error: log.warning("message-refused", error=str(error)),
+        traffic,
     )
     daemon.watcher = threading.Thread(
         target=watch_backend, args=(daemon,), name="backend-watch", daemon=True
--- a/packages/front/src/waxwinglever_front/router.py
+++ b/packages/front/src/waxwinglever_front/router.py
@@ -16,7 +16,7 @@
 from waxwinglever_routing import budgets
 
 # How long a request whose key has no reachable owner waits before the map is
-# looked at again. Heartbeats bring a new map at least every 0.3 s.
+# looked at again. Heartbeats bring a new map at least every 0.2 s.
 HOLD_S = 0.05
 # Time that must be left for a further try to make sense.
 LEAST_TRY_S = 0.005
--- a/packages/front/src/waxwinglever_front/site.py
+++ b/packages/front/src/waxwinglever_front/site.py
@@ -72,6 +72,7 @@
       forward: Sends a request to the daemon at an http address.
       metrics: Histograms and counters.
       log: Called with an event name and fields.
+      traffic: Bytes of messages between daemons.
       node: This daemon's part in its cell, once its server announced itself.
       local: The backend server beside this daemon, once announced.
       cached: Records of other cells.
@@ -93,6 +94,7 @@
     forward: Callable[[str, exchange.Request], exchange.Reply]
     metrics: metrics.Metrics
     log: Callable[..., None]
+    traffic: links.Traffic = attrs.Factory(links.Traffic)
     now: Callable[[], float] = clock.boottime_s
     node: ownership_node.CellNode | None = None
     local: Local | None = None
--- a/packages/front/src/waxwinglever_front/status.py
+++ b/packages/front/src/waxwinglever_front/status.py
@@ -115,6 +115,12 @@
 
 def update_gauges(site: sites.Site) -> None:
     """Sets the gauges to the present state."""
+    traffic = site.traffic
+    for name, value in (
+        ("control_sent_bytes", traffic.sent_bytes),
+        ("control_received_bytes", traffic.received_bytes),
+    ):
+        site.metrics.set_gauge(name, value, {})
     cell = cell_status(site)
     if cell is not None:
         labels = {"cell": cell["cell"]}
--- a/packages/ownership/src/waxwinglever_ownership/changes.py
+++ b/packages/ownership/src/waxwinglever_ownership/changes.py
@@ -12,11 +12,10 @@
 from waxwinglever_placement import splits
 from waxwinglever_routing import hotkeys
 
-# Moves that even out load are planned this often; slices without an owner are
-# placed at once.
-BALANCE_INTERVAL_S = 5.0
 HANDOVER_PAUSE_S = 0.5
 NOISE_DEVIATIONS = 3.0
+# Measured rates of a slice are good enough after this time.
+ESTIMATE_S = 4.0
 # A new cell waits this long for members before it assigns its first slices,
 # so that the first node does not get all of them and hands most back.
 FORMATION_S = 1.0
@@ -65,6 +64,8 @@
         if record == leader.record:
             return None
         record = attrs.evolve(record, nonce=identifiers.new_id())
+        if rules.keyed and leader.record.slices:
+            estimate_loads(leader, record, now)
         leadership.begin_change(leader, record)
         return record
 
@@ -134,7 +135,10 @@
     ]
     if now - leader.since < FORMATION_S and record.next_epoch == 1:
         return record
-    loads = slice_loads(leader)
+    is_due = now >= leader.next_balance
+    if not is_due and not leader.revoking and owners_stay(leader, nodes):
+        return record
+    loads = slice_loads(leader, now)
     free = {
         item.ref
         for item in record.slices
@@ -145,7 +149,6 @@
         attrs.evolve(item, owner=cells.NO_OWNER) if item.ref in free else item
         for item in record.slices
     )
-    is_due = now >= leader.next_balance
     budget = max(0, rules.max_moves - len(leader.revoking)) if is_due else 0
     cost = max(rules.move_cost, sampling_noise(loads, len(nodes)))
     moves = plan.plan_moves(view, nodes, loads, cost, budget)
@@ -155,7 +158,7 @@
     if is_due:
         # A full round of moves means that there is more to even out.
         is_more = 0 < budget <= len(moves)
-        pause = HANDOVER_PAUSE_S if is_more else BALANCE_INTERVAL_S
+        pause = HANDOVER_PAUSE_S if is_more else limits.BALANCE_INTERVAL_S
         leader.next_balance = now + pause
     if assigned != record or not is_due:
         return assigned
@@ -212,14 +215,61 @@
     )
 
 
+def owners_stay(leader: leadership.LeaderState, nodes: list[plan.Node]) -> bool:
+    """Returns whether each owner may keep its slices, at a low cost.
+
+    The slices are not looked at: this is asked many times a second.
+    """
+    usable = {node.name for node in nodes if node.weight > 0}
+    is_handed_back = any(
+        follower.released for follower in leader.followers.values()
+    )
+    return not is_handed_back and leader.owners <= usable
+
+
 def slice_loads(
-    leader: leadership.LeaderState,
+    leader: leadership.LeaderState, now: float
 ) -> dict[cells.SliceRef, float]:
-    """Returns the measured loads of all slices, requests a second."""
+    """Returns the loads of the busy slices, in requests a second.
+
+    A slice that has just got a new epoch or bounds keeps an estimate until
+    its owner has measured it; it would count as idle otherwise.
+    """
+    loads = {}
+    if now < leader.estimates_until:
+        loads.update(leader.estimates)
+    for follower in leader.followers.values():
+        for load in follower.loads:
+            loads[load.ref] = load.requests_per_s
+    return loads
+
+
+def estimate_loads(
+    leader: leadership.LeaderState, record: cells.CellRecord, now: float
+) -> None:
+    """Keeps the loads of slices whose epoch or bounds the record changes."""
+    loads = slice_loads(leader, now)
+    known = {item.ref for item in leader.record.slices}
+    estimates = splits.split_loads(
+        leader.record.slices, loads, hot_keys(leader), record.slices
+    )
+    leader.estimates = {
+        ref: rate
+        for ref, rate in estimates.items()
+        if ref not in known and rate > 0
+    }
+    leader.estimates_until = now + ESTIMATE_S
+
+
+def hot_keys(
+    leader: leadership.LeaderState,
+) -> dict[cells.SliceRef, tuple[int, float]]:
+    """Returns point and share of the most frequent key of busy slices."""
     return {
-        load.ref: load.requests_per_s
+        load.ref: (load.hot_point, load.hot_share)
         for follower in leader.followers.values()
         for load in follower.loads
+        if load.hot_point is not None
     }
 
 
@@ -287,12 +337,7 @@
     """
     if leader.revoking:
         return record
-    hot = {
-        load.ref: (load.hot_point, load.hot_share)
-        for follower in leader.followers.values()
-        for load in follower.loads
-        if load.hot_point is not None
-    }
+    hot = hot_keys(leader)
     cuts = splits.plan_splits(record.slices, loads, hot, len(record.members))
     if cuts:
         resized = splits.apply_splits(record.slices, cuts)
--- a/packages/ownership/src/waxwinglever_ownership/leadership.py
+++ b/packages/ownership/src/waxwinglever_ownership/leadership.py
@@ -70,6 +70,10 @@
       joins: Members that asked to be recorded, by node name.
       leaving: Members that asked to be removed.
       retired: Nodes that the operators declared lost.
+      owners: Nodes that the record assigns slices to, with NO_OWNER if some
+        slice has none.
+      estimates: Loads of slices that have not been measured yet.
+      estimates_until: Until when the estimates count, in seconds.
       next_balance: When load is evened out next, in seconds.
       stepped_down: Whether a higher term was seen; nothing is granted then.
     """
@@ -90,6 +94,9 @@
     joins: dict[str, cells.Member] = attrs.Factory(dict)
     leaving: set[str] = attrs.Factory(set)
     retired: frozenset[str] = frozenset()
+    owners: frozenset[str] = frozenset()
+    estimates: dict[cells.SliceRef, float] = attrs.Factory(dict)
+    estimates_until: float = 0.0
     next_balance: float = 0.0
     stepped_down: bool = False
     lock: threading.Condition = attrs.Factory(threading.Condition)
@@ -115,9 +122,16 @@
         taken_nodes=frozenset(member.node for member in record.members),
         since=now,
         takeover_at=now if is_new_cell else None,
+        owners=owners_of(record),
+        next_balance=now + limits.BALANCE_INTERVAL_S,
     )
 
 
+def owners_of(record: cells.CellRecord) -> frozenset[str]:
+    """Returns the owners of the slices; NO_OWNER if some slice has none."""
+    return frozenset(item.owner for item in record.slices)
+
+
 def follower_of(leader: LeaderState, node: str) -> Follower:
     """Returns what the leader knows of a member; the caller has the lock."""
     return leader.followers.setdefault(node, Follower())
@@ -232,7 +246,8 @@
         follower.record_version = ack.record_version
         follower.generations = ack.generations
         follower.directory_version = ack.directory_version
-        follower.loads = ack.loads
+        if ack.loads is not None:
+            follower.loads = ack.loads
         follower.draining = ack.draining
         for ref in ack.released:
             if ref not in follower.released:
@@ -369,6 +384,7 @@
     with leader.lock:
         leader.lease_until = inherited_leases(leader, leader.pending)
         leader.record = leader.pending
+        leader.owners = owners_of(leader.record)
         leader.version = version
         leader.pending = None
         leader.held_back = frozenset()
--- a/packages/ownership/src/waxwinglever_ownership/node.py
+++ b/packages/ownership/src/waxwinglever_ownership/node.py
@@ -38,6 +38,7 @@
 CONFIG_POLL_S = 2.0
 LEAVE_INTERVAL_S = 0.1
 THREAD_RESTART_S = 1.0
+LOAD_REPORT_S = 2.0
 
 
 @attrs.frozen
@@ -77,6 +78,7 @@
       stand_now: Whether a leaving leader asked this node to stand.
       leaving: Whether this node asks to be removed from the record.
       removed: Whether the leader said that it is not recorded any more.
+      next_report: When the loads are reported next, in seconds.
       stopping: Set when the threads must end.
       threads: Control, configuration and directory threads.
     """
@@ -92,6 +94,7 @@
     stand_now: bool = False
     leaving: bool = False
     removed: bool = False
+    next_report: float = 0.0
     stopping: threading.Event = attrs.Factory(threading.Event)
     threads: list[threading.Thread] = attrs.Factory(list)
 
@@ -210,7 +213,7 @@
         accept_config(node, update.tenant, update.value)
     if heartbeat.directory is not None:
         directory.learn(node.lines, heartbeat.directory)
-    loads = node.around.loads()
+    loads = due_loads(node)
     ack = membership.accept_heartbeat(node.state, heartbeat, node.around.now())
     log_ownership(node)
     return attrs.evolve(
@@ -221,6 +224,18 @@
     )
 
 
+def due_loads(node: CellNode) -> tuple[messages.SliceLoad, ...] | None:
+    """Returns the loads of this node's slices, if it is time to report them.
+
+    A report takes about 1.5 KB, too much for each acknowledgement.
+    """
+    now = node.around.now()
+    if now < node.next_report:
+        return None
+    node.next_report = now + LOAD_REPORT_S
+    return node.around.loads()
+
+
 def handle_join(
     node: CellNode, request: messages.JoinRequest
 ) -> messages.JoinReply:
--- a/packages/peers/src/waxwinglever_peers/links.py
+++ b/packages/peers/src/waxwinglever_peers/links.py
@@ -16,6 +16,17 @@
 NEVER_RESEND = -1
 
 
+@attrs.define(eq=False)
+class Traffic:
+    """Bytes of messages between daemons, without TCP's own.
+
+    Counted without a lock: a lost count does not matter.
+    """
+
+    sent_bytes: int = 0
+    received_bytes: int = 0
+
+
 @attrs.frozen
 class PeerCalls:
     """The client side of the links to all other daemons.
@@ -38,8 +49,9 @@
     lock: threading.Lock = attrs.Factory(threading.Lock)
 
 
-def pynng_calls() -> PeerCalls:
+def pynng_calls(traffic: Traffic | None = None) -> PeerCalls:
     """Returns calls over pynng that keep one link to each address open."""
+    count = traffic if traffic is not None else Traffic()
     links: dict[str, Link] = {}
     lock = threading.Lock()
 
@@ -67,8 +79,12 @@
         try:
             link.socket.send_timeout = timeout_ms
             link.socket.recv_timeout = timeout_ms
-            link.socket.send(codec.encode(message))
-            return codec.decode(link.socket.recv())
+            data = codec.encode(message)
+            link.socket.send(data)
+            count.sent_bytes += len(data)
+            data = link.socket.recv()
+            count.received_bytes += len(data)
+            return codec.decode(data)
         except pynng.NNGException as error:
             raise unavailable(address, str(error)) from error
         finally:
@@ -111,6 +127,7 @@
     address: str,
     handle: Callable[[messages.Message], messages.Message],
     on_error: Callable[[exceptions.WaxwingleverError], None],
+    traffic: Traffic | None = None,
 ) -> PeerServer:
     """Listens on host:port and answers each message with `handle`.
 
@@ -119,6 +136,7 @@
         proves that an earlier incarnation of this node has terminated.
       handle: Returns the answer to a message; may raise WaxwingleverError.
       on_error: Told of each message that got an ErrorReply.
+      traffic: Counts the bytes.
 
     Raises:
       InvalidInput: The address is in use or can't be bound.
@@ -133,6 +151,8 @@
             "stop the process that holds it, or correct the settings",
         ) from error
 
+    count = traffic if traffic is not None else Traffic()
+
     def answer(data: bytes) -> bytes:
         try:
             return codec.encode(handle(codec.decode(data)))
@@ -144,7 +164,11 @@
     def run() -> None:
         while True:
             try:
-                socket.send(answer(socket.recv()))
+                data = socket.recv()
+                count.received_bytes += len(data)
+                data = answer(data)
+                count.sent_bytes += len(data)
+                socket.send(data)
             except pynng.Closed:
                 return
             except pynng.NNGException:
--- a/packages/peers/src/waxwinglever_peers/messages.py
+++ b/packages/peers/src/waxwinglever_peers/messages.py
@@ -94,7 +94,7 @@
       generations: Generation that the member obeys, by tenant.
       directory_version: Version of the directory that the member has.
       draining: Whether the member is leaving and must own nothing.
-      loads: Loads of the busiest slices.
+      loads: Loads of the busiest slices, or None when they are not reported.
     """
 
     node: str
@@ -107,7 +107,7 @@
     generations: dict[str, int] = attrs.Factory(dict)
     directory_version: int = 0
     draining: bool = False
-    loads: tuple[SliceLoad, ...] = ()
+    loads: tuple[SliceLoad, ...] | None = None
 
 
 @attrs.frozen
