--- /dev/null
+++ b/packages/ownership/tests/conftest.py
@@ -0,0 +1,160 @@
+"""A cell in memory: one leader, its members and a clock set by the test."""
+
+import json
+from collections.abc import Iterable
+
+import attrs
+import pytest
+
+from waxwinglever_model import cells
+from waxwinglever_ownership import leadership
+from waxwinglever_ownership import membership
+from waxwinglever_peers import messages
+
+CELL = "t/s/0"
+
+
+def member(name: str, life: int = 0, zone: str = "z") -> cells.Member:
+    """Returns one life of a node as a record holds it."""
+    return cells.Member(name, f"{name}-{life}", f"{name}:p", f"{name}:h", zone)
+
+
+def record(
+    owners: Iterable[str] = "abc", names: Iterable[str] = "abc", **changes
+) -> cells.CellRecord:
+    """Returns a record with one slice for each owner, epochs from 1."""
+    owners = list(owners)
+    slices = tuple(
+        attrs.evolve(item, owner=owner, epoch=index + 1 if owner else 0)
+        for index, (item, owner) in enumerate(
+            zip(cells.even_slices(max(1, len(owners))), owners)
+        )
+    )
+    base = cells.CellRecord(
+        CELL,
+        1,
+        "a",
+        "a-0",
+        "w0",
+        tuple(map(member, names)),
+        slices,
+        len(owners) + 1,
+    )
+    return attrs.evolve(base, **changes)
+
+
+def config(
+    generation: int, zone_state: str = "in", retired: Iterable[str] = ()
+) -> str:
+    """Returns the store's value of a configuration with one keyed service."""
+    document = {
+        "schema_version": 2,
+        "generation": generation,
+        "tenant": "t",
+        "zones": [{"name": "z", "region": "r", "state": zone_state}],
+        "services": [
+            {
+                "name": "s",
+                "kind": "keyed",
+                "instances_min": 1,
+                "slots": 10,
+                "cold_start": {"initial_slots": 2, "seconds": 0.0},
+                "classes": [{"name": "default", "weight": 1}],
+                "timeout_ms": 5000,
+                "checks_fences": True,
+            }
+        ],
+        "placement": {"move_cost": 0.05, "max_moves": 4, "rules": []},
+        "retired": list(retired),
+    }
+    return json.dumps(
+        {
+            "generation": generation,
+            "documents": {"2": document},
+            "history": [],
+        }
+    )
+
+
+@attrs.define(eq=False)
+class Cell:
+    """A leader and its members, without any thread."""
+
+    leader: leadership.LeaderState
+    members: dict[str, membership.MemberState]
+    now: float = 100.0
+
+    def send(self, name: str) -> messages.Heartbeat:
+        return leadership.next_heartbeat(self.leader, name, self.now)
+
+    def arrive(self, name, heartbeat) -> messages.HeartbeatAck:
+        return membership.accept_heartbeat(
+            self.members[name], heartbeat, self.now
+        )
+
+    def beat(self, *names: str, rounds: int = 1) -> None:
+        """Sends heartbeats and applies their acknowledgements."""
+        for _ in range(rounds):
+            for name in names or tuple(self.members):
+                ack = self.arrive(name, self.send(name))
+                leadership.accept_ack(self.leader, name, ack, self.now)
+            self.now += 0.01
+
+    def restart(self, name: str, life: int = 1) -> None:
+        self.members[name] = membership.MemberState(
+            CELL, name, f"{name}-{life}", self.now
+        )
+
+    def succeed(self, name: str, stored: cells.CellRecord | None = None):
+        """Makes a member the leader of the next term."""
+        before = stored or self.leader.record
+        taken = attrs.evolve(
+            before,
+            term=before.term + 1,
+            leader=name,
+            leader_incarnation=self.members[name].incarnation,
+        )
+        self.leader = leadership.new_leader(
+            taken, self.leader.version + 1, self.now, is_new_cell=False
+        )
+
+    def holders(self, index: int) -> set[str]:
+        """Returns the members with a running lease on a slice."""
+        item = self.leader.record.slices[index]
+        return {
+            name
+            for name, state in self.members.items()
+            for lease in state.held.values()
+            if lease.until > self.now
+            and lease.item.start <= item.last
+            and item.start <= lease.item.last
+        }
+
+    def ref(self, index: int) -> cells.SliceRef:
+        return self.leader.record.slices[index].ref
+
+
+@attrs.frozen
+class Builders:
+    """What the tests of this package build their cases with."""
+
+    member = staticmethod(member)
+    record = staticmethod(record)
+    config = staticmethod(config)
+
+    def cell(self, stored: cells.CellRecord | None = None) -> Cell:
+        stored = stored or record()
+        members = {
+            item.node: membership.MemberState(
+                CELL, item.node, item.incarnation, 100.0
+            )
+            for item in stored.members
+        }
+        leader = leadership.new_leader(stored, 1, 100.0, is_new_cell=True)
+        return Cell(leader, members)
+
+
+@pytest.fixture(autouse=True)
+def builders(request: pytest.FixtureRequest) -> None:
+    """Gives each test case the builders."""
+    request.instance.make = Builders()
--- /dev/null
+++ b/packages/ownership/tests/test_leadership.py
@@ -0,0 +1,177 @@
+"""Tests of waxwinglever_ownership.leadership."""
+
+import attrs
+import testtools
+
+from waxwinglever_model import limits
+from waxwinglever_ownership import leadership
+from waxwinglever_placement import splits
+
+
+class AcknowledgementTest(testtools.TestCase):
+    """Guards against an acknowledgement that supports too much (R2, R5)."""
+
+    def test_an_unrecorded_incarnation_never_dates_a_lease(self):
+        # With b and c restarted, a alone is no majority.
+        cell = self.make.cell()
+        cell.restart("b")
+        cell.restart("c")
+        cell.beat(rounds=5)
+        self.assertEqual(0.0, cell.send("a").remaining_s)
+        self.assertEqual(set(), cell.holders(0))
+
+    def test_a_restart_drops_the_date_of_the_earlier_life(self):
+        cell = self.make.cell()
+        cell.beat(rounds=2)
+        cell.restart("b")
+        cell.restart("c")
+        cell.beat("b", "c")
+        self.assertEqual(0.0, cell.send("a").remaining_s)
+
+    def test_a_restart_counts_as_advanced_to_the_term(self):
+        cell = self.make.cell()
+        cell.succeed("a")
+        cell.restart("b")
+        cell.beat("a", "b")
+        self.assertIsNotNone(cell.leader.takeover_at)
+        self.assertEqual(0.0, cell.send("a").remaining_s)
+
+    def test_a_lease_is_dated_when_the_heartbeat_was_sent(self):
+        cell = self.make.cell()
+        cell.beat()
+        sent = cell.now
+        pending = {name: cell.send(name) for name in "abc"}
+        cell.now += 0.2
+        for name, heartbeat in pending.items():
+            ack = cell.arrive(name, heartbeat)
+            leadership.accept_ack(cell.leader, name, ack, cell.now)
+        remaining = cell.send("b").remaining_s
+        self.assertAlmostEqual(sent + limits.LEASE_S - cell.now, remaining)
+
+    def test_rejections_and_unknown_sequences_change_nothing(self):
+        cell = self.make.cell()
+        ack = cell.arrive("b", cell.send("b"))
+        for wrong in (
+            attrs.evolve(ack, accepted=False),
+            attrs.evolve(ack, sequence=77),
+        ):
+            leadership.accept_ack(cell.leader, "b", wrong, cell.now)
+        self.assertIsNone(cell.leader.followers["b"].last_ack)
+
+    def test_a_higher_term_ends_the_leadership(self):
+        cell = self.make.cell()
+        cell.beat(rounds=2)
+        ack = cell.arrive("b", cell.send("b"))
+        refused = attrs.evolve(ack, accepted=False, highest_term=2)
+        leadership.accept_ack(cell.leader, "b", refused, cell.now)
+        self.assertIsNone(cell.send("b"))
+
+
+class SuccessionTest(testtools.TestCase):
+    """Guards against a successor that gives slices away early (R4, R7)."""
+
+    def test_recorded_owners_get_leases_at_once(self):
+        cell = self.make.cell()
+        cell.beat(rounds=3)
+        cell.succeed("c")
+        cell.beat(rounds=3)
+        self.assertEqual({"b"}, cell.holders(1))
+
+    def test_a_silent_owner_is_free_only_after_a_lease_of_a_majority(self):
+        cell = self.make.cell()
+        cell.succeed("c")
+        item = cell.leader.record.slices[1]
+        cell.now += 60
+        # Without a majority no wait has begun, however long it lasts.
+        self.assertFalse(leadership.is_free(cell.leader, item, cell.now))
+        cell.beat("a", "c")
+        free_at = cell.leader.takeover_at
+        self.assertTrue(free_at >= cell.now - 0.01 + limits.LEASE_WAIT_S)
+        for now, expected in ((free_at - 0.01, False), (free_at, True)):
+            self.assertEqual(
+                expected, leadership.is_free(cell.leader, item, now)
+            )
+
+    def test_a_granted_lease_keeps_its_slice_until_its_end(self):
+        cell = self.make.cell()
+        cell.beat(rounds=3)
+        item = cell.leader.record.slices[1]
+        until = cell.members["b"].held[item.ref].until
+        self.assertTrue(cell.leader.lease_until[item.ref] >= until)
+        for now, expected in ((until, False), (until + 1, True)):
+            self.assertEqual(
+                expected, leadership.is_free(cell.leader, item, now)
+            )
+
+    def test_a_released_slice_is_free_at_once(self):
+        cell = self.make.cell()
+        cell.beat(rounds=3)
+        item = cell.leader.record.slices[1]
+        cell.leader.revoking[item.ref] = cell.now
+        cell.beat("b")
+        self.assertTrue(leadership.is_free(cell.leader, item, cell.now))
+
+    def test_retired_nodes_count_as_advanced(self):
+        stored = self.make.record("ab", "ab")
+        cell = self.make.cell(stored)
+        cell.succeed("a")
+        cell.beat("a")
+        self.assertIsNone(cell.leader.takeover_at)
+        leadership.retire(cell.leader, frozenset("b"), cell.now)
+        self.assertIsNotNone(cell.leader.takeover_at)
+
+
+class PendingChangeTest(testtools.TestCase):
+    """Guards against grants that depend on an unconfirmed write (R6, R8)."""
+
+    def test_only_what_the_record_changes_is_held_back(self):
+        cell = self.make.cell()
+        cell.beat(rounds=3)
+        record = cell.leader.record
+        moved = attrs.evolve(record.slices[1], owner="c", epoch=4)
+        slices = (record.slices[0], moved, record.slices[2])
+        following = attrs.evolve(record, slices=slices, next_epoch=5)
+        leadership.begin_change(cell.leader, following)
+        self.assertEqual((record.slices[1].ref,), cell.send("b").withheld)
+        self.assertEqual((), cell.send("c").withheld)
+        self.assertTrue(cell.send("c").remaining_s > 0)
+        cell.now += limits.LEASE_S
+        cell.beat(rounds=3)
+        self.assertEqual(set(), cell.holders(1))
+        self.assertEqual({"c"}, cell.holders(2))
+        leadership.confirm_change(cell.leader, 2)
+        cell.beat(rounds=3)
+        self.assertEqual({"c"}, cell.holders(1))
+
+    def test_leases_need_a_majority_of_both_member_lists(self):
+        cell = self.make.cell()
+        cell.beat(rounds=2)
+        others = tuple(map(self.make.member, "defg"))
+        record = cell.leader.record
+        leadership.begin_change(
+            cell.leader, attrs.evolve(record, members=record.members + others)
+        )
+        self.assertEqual(0.0, cell.send("a").remaining_s)
+
+    def test_a_split_keeps_leases_and_epochs(self):
+        cell = self.make.cell()
+        cell.beat(rounds=3)
+        record = cell.leader.record
+        ref, cut = record.slices[1].ref, record.slices[1].start + 10
+        slices = splits.apply_splits(
+            record.slices, [splits.Split(ref=ref, at=cut)]
+        )
+        before = cell.members["b"].held[ref].until
+        leadership.begin_change(
+            cell.leader, attrs.evolve(record, slices=slices)
+        )
+        self.assertEqual(frozenset(), cell.leader.held_back)
+        leadership.confirm_change(cell.leader, 2)
+        cell.beat("b")
+        held = cell.members["b"].held
+        self.assertEqual(
+            [(ref.start, 2), (cut, 2)], [(r.start, r.epoch) for r in held]
+        )
+        self.assertTrue(all(lease.until >= before for lease in held.values()))
+        ends = [cell.leader.lease_until[r] for r in held]
+        self.assertTrue(min(ends) >= before)
--- /dev/null
+++ b/packages/ownership/tests/test_node.py
@@ -0,0 +1,223 @@
+"""Tests of waxwinglever_ownership.node."""
+
+import threading
+
+import attrs
+import testtools
+
+from waxwinglever_model import exceptions
+from waxwinglever_ownership import configs
+from waxwinglever_ownership import directory
+from waxwinglever_ownership import leadership
+from waxwinglever_ownership import node
+from waxwinglever_ownership import records
+from waxwinglever_peers import links
+from waxwinglever_peers import messages
+from waxwinglever_standins import memory
+from waxwinglever_standins import store
+
+
+class NodeTest(testtools.TestCase):
+    """Guards against a wrong answer to a message or of the store."""
+
+    def setUp(self):
+        super().setUp()
+        self.now = 100.0
+        self.sent = []
+        self.answers = {}
+        self.store = store.new_store()
+
+    def call(self, address, message, _):
+        self.sent.append((address, message))
+        answer = self.answers.get(address)
+        if answer is None:
+            raise links.unavailable(address, "cut")
+        return answer
+
+    def new_node(self, name="a", life=0, stored=None):
+        around = node.Surroundings(
+            store=memory.memory_store(self.store),
+            peers=links.PeerCalls(self.call, lambda: None),
+            log=lambda *_, **__: None,
+            now=lambda: self.now,
+        )
+        made = node.new_node(
+            "t",
+            "s",
+            self.make.member(name, life),
+            around,
+            configs.ConfigBook(),
+            directory.Directory(),
+        )
+        if stored is not None:
+            records.write(around.store, stored, 0)
+        return made
+
+    def heard(self, made, **changes):
+        heartbeat = messages.Heartbeat(
+            "t/s/0", 1, "b", "b-0", 1, 0, 0.0, 1, self.make.record()
+        )
+        return node.handle(made, attrs.evolve(heartbeat, **changes))
+
+    def test_a_heartbeat_brings_record_configuration_and_directory(self):
+        made = self.new_node()
+        update = messages.ConfigUpdate("t", 3, self.make.config(3))
+        ack = self.heard(made, configs=(update,), directory_version=7)
+        self.assertEqual(
+            (True, 1, {"t": 3}, 7),
+            (
+                ack.accepted,
+                ack.record_version,
+                ack.generations,
+                ack.directory_version,
+            ),
+        )
+
+    def test_a_join_is_answered_by_the_leader_only(self):
+        made = self.new_node("a")
+        joining = messages.JoinRequest("t/s/0", self.make.member("d"))
+        self.heard(made)
+        self.assertEqual(
+            messages.JoinReply(False, "b:p"), node.handle(made, joining)
+        )
+        record = self.make.record()
+        made.leader = leadership.new_leader(record, 1, self.now, True)
+        cases = (
+            (joining, False),
+            (messages.JoinRequest("t/s/0", self.make.member("b")), True),
+            (attrs.evolve(joining, leaving=True), True),
+        )
+        for request, recorded in cases:
+            reply = node.handle(made, request)
+            self.assertEqual((True, recorded), (reply.accepted, reply.recorded))
+        other = attrs.evolve(joining, cell="t/x/0")
+        self.assertFalse(node.handle(made, other).accepted)
+
+    def test_maps_probes_and_answers(self):
+        made = self.new_node()
+        self.heard(made)
+        ask = messages.MapRequest
+        self.assertIsNotNone(node.handle(made, ask("t/s/0")).record)
+        self.assertIsNone(node.handle(made, ask("t/s/0", 1)).record)
+        for wrong in (ask("t/x/0"), messages.Accepted()):
+            self.assertRaises(exceptions.InvalidInput, node.handle, made, wrong)
+        probe = messages.ElectionProbe("t/s/0", 1, "c")
+        self.assertFalse(node.handle(made, probe).silent)
+        self.now += 1.0
+        self.assertTrue(node.handle(made, probe).silent)
+
+    def test_a_member_stands_only_with_a_majority(self):
+        made = self.new_node("a", stored=self.make.record())
+        self.heard(made)
+        hearing = messages.ElectionProbeReply("b", False, 1)
+        self.answers = {"b:p": hearing}
+        self.assertIsNone(node.stand(made))
+        self.answers = {"b:p": attrs.evolve(hearing, silent=True)}
+        self.assertEqual(2, node.stand(made).record.term)
+        stored, _ = records.read(made.around.store, "t/s/0")
+        self.assertEqual((2, "a"), (stored.term, stored.leader))
+
+    def test_a_member_waits_for_the_leader_of_a_new_term(self):
+        made = self.new_node("a", stored=self.make.record(leader="b", term=5))
+        self.answers = {
+            f"{name}:p": messages.ElectionProbeReply(name, True, 1)
+            for name in "bc"
+        }
+        self.assertIsNone(node.stand(made))
+        self.assertEqual(5, made.state.term)
+
+    def test_an_old_value_of_the_store_starts_no_election(self):
+        made = self.new_node("a", stored=self.make.record())
+        self.heard(made, term=4, sequence=9)
+        made.stand_now = True
+        self.assertIsNone(node.stand(made))
+
+    def test_a_node_that_is_not_recorded_asks_to_join(self):
+        made = self.new_node("d", stored=self.make.record(leader="b"))
+        self.answers = {"b:p": messages.JoinReply(True, "b:p")}
+        self.assertIsNone(node.stand(made))
+        (sent,) = self.sent
+        self.assertEqual(("b:p", messages.JoinRequest("t/s/0", made.me)), sent)
+
+    def test_the_first_node_creates_the_cell(self):
+        made = self.new_node("a")
+        self.assertIsNone(node.stand(made))
+        configs.offer(made.book, "t", self.make.config(1))
+        leader = node.stand(made)
+        self.assertEqual((1, "a"), (leader.record.term, leader.record.leader))
+        late = self.new_node("b")
+        configs.offer(late.book, "t", self.make.config(1))
+        self.assertRaises(exceptions.Conflict, node.create_cell, late)
+
+    def test_an_unanswered_write_is_never_given_up(self):
+        made = self.new_node("a", stored=self.make.record())
+        record, version = records.read(made.around.store, "t/s/0")
+        leader = leadership.new_leader(record, version, self.now, True)
+        changed = attrs.evolve(record, nonce="w1")
+        leadership.begin_change(leader, changed)
+        self.store.faults = attrs.evolve(self.store.faults, lose_answers=1)
+        node.write_change(made, leader, changed)
+        self.assertEqual((changed, None), (leader.record, leader.pending))
+        self.assertFalse(leader.stepped_down)
+        other = attrs.evolve(record, nonce="w2")
+        records.write(made.around.store, other, leader.version)
+        lost = attrs.evolve(record, nonce="w3")
+        leadership.begin_change(leader, lost)
+        node.write_change(made, leader, lost)
+        self.assertTrue(leader.stepped_down)
+
+    def test_three_nodes_serve_a_cell_and_survive_their_leader(self):
+        nodes = {}
+        cut = set()
+
+        def call(address, message, _):
+            target = nodes.get(address)
+            if target is None or target.me.node in cut:
+                raise links.unavailable(address, "cut")
+            return node.handle(target, message)
+
+        log = []
+        changed = threading.Condition()
+
+        def note(event, **fields):
+            with changed:
+                log.append((event, fields))
+                changed.notify_all()
+
+        def wait_for(check):
+            with changed:
+                self.assertTrue(changed.wait_for(check, 20), log[-5:])
+
+        def served_by(names):
+            held = [
+                lease.item.start
+                for made in nodes.values()
+                if made.me.node in names
+                for lease in list(made.state.held.values())
+            ]
+            return len(held) == 64
+
+        for name in "abc":
+            made = self.new_node(name)
+            made.around = node.Surroundings(
+                memory.memory_store(self.store),
+                links.PeerCalls(call, lambda: None),
+                note,
+            )
+            made.state.last_heard = made.around.now()
+            configs.offer(made.book, "t", self.make.config(1))
+            nodes[made.me.peer_address] = made
+        try:
+            for made in nodes.values():
+                node.start(made)
+            wait_for(lambda: served_by("abc"))
+            wait_for(lambda: any(n.leader for n in nodes.values()))
+            (leading,) = [n for n in nodes.values() if n.leader]
+            cut.add(leading.me.node)
+            leading.stopping.set()
+            wait_for(lambda: served_by(set("abc") - cut))
+        finally:
+            for made in nodes.values():
+                made.stopping.set()
+                if made.leader is not None:
+                    leadership.step_down(made.leader)
--- /dev/null
+++ b/packages/ownership/tests/test_records.py
@@ -0,0 +1,34 @@
+"""Tests of waxwinglever_ownership.records."""
+
+import attrs
+import testtools
+
+from waxwinglever_model import exceptions
+from waxwinglever_ownership import records
+from waxwinglever_standins import memory
+from waxwinglever_standins import store
+
+
+class RecordsTest(testtools.TestCase):
+    """Guards against a lost answer that is taken for a conflict (R8)."""
+
+    def test_a_repeated_write_is_settled_by_its_nonce(self):
+        state = store.new_store()
+        calls = memory.memory_store(state)
+        record = self.make.record()
+        state.faults = attrs.evolve(state.faults, lose_answers=1)
+        self.assertRaises(
+            exceptions.StoreUnavailable, records.write, calls, record, 0
+        )
+        version = records.write(calls, record, 0)
+        self.assertEqual((record, version), records.read(calls, record.cell))
+        other = attrs.evolve(record, nonce="w1")
+        self.assertRaises(
+            exceptions.Conflict, records.write, calls, other, version - 1
+        )
+
+    def test_an_absent_or_broken_record(self):
+        calls = memory.memory_store()
+        self.assertEqual((None, 0), records.read(calls, "t/s/0"))
+        for text in ("", "[]", '{"cell": 1}', "{"):
+            self.assertRaises(exceptions.InvalidInput, records.decode, text)
