Show a configuration that is stored under another tenant

Cause: configs.offer returned early for a record whose tenant is not that of its key, without noting why, so the status showed no error. Ruled out: config.newer checks the tenant (it does not know the key). Change: the error names the tenant and the right key. Before: test_a_refused_value_is_shown failed, 'u' not in errors; after: it passes.

--- a/packages/ownership/src/waxwinglever_ownership/configs.py
+++ b/packages/ownership/src/waxwinglever_ownership/configs.py
@@ -41,7 +41,13 @@
         except exceptions.InvalidInput as error:
             book.errors[tenant] = str(error)
             return False
-        if newer is None or newer.tenant != tenant:
+        if newer is None:
+            return False
+        if newer.tenant != tenant:
+            book.errors[tenant] = (
+                f"the record is of tenant {newer.tenant!r}; write it under"
+                f" {config.store_key(newer.tenant)!r}"
+            )
             return False
         book.configs[tenant] = newer
         book.values[tenant] = value
--- a/packages/ownership/tests/test_configs.py
+++ b/packages/ownership/tests/test_configs.py
@@ -27,6 +27,12 @@
             self.assertEqual({"t": generation}, configs.generations(book))
         self.assertEqual(frozenset({"z"}), configs.zones_out(book, "t"))
 
+    def test_a_refused_value_is_shown(self):
+        book = configs.ConfigBook()
+        for tenant, value in (("t", "{"), ("u", self.make.config(1))):
+            self.assertFalse(configs.offer(book, tenant, value))
+            self.assertIn(tenant, book.errors)
+
     def test_updates_hold_only_what_is_newer(self):
         book = configs.ConfigBook()
         configs.offer(book, "t", self.make.config(3))
