Refuse heartbeats and answers of a node with a reused address

Cause: a heartbeat named its cell but not its receiver, and the leader took an answer for that of the node it had called. When a replaced VM's address went to another node of the cell, that node took leases of both streams of heartbeats, with what was withheld from the other one; of the two streams only one was accepted, so the node counted as silent under its own name while its leases were renewed. A node of another cell with a higher term made the leader step down. Ruled out: the check of incarnations (it dates leases, but neither silence nor withheld slices depend on it). Change: the heartbeat names its receiver; others refuse it, and the leader ignores answers of other nodes. Before: the tests for other members, nodes and cells failed; after: pass.

--- a/packages/ownership/src/waxwinglever_ownership/leadership.py
+++ b/packages/ownership/src/waxwinglever_ownership/leadership.py
@@ -176,6 +176,7 @@
             revoke=tuple(
                 item.ref for item in own if item.ref in leader.revoking
             ),
+            member=node,
         )
 
 
@@ -212,6 +213,8 @@
     leader: LeaderState, node: str, ack: messages.HeartbeatAck, now: float
 ) -> None:
     """Applies the acknowledgement of a heartbeat (R2, R4, R5, R11)."""
+    if ack.node != node:
+        return
     with leader.lock:
         if ack.highest_term > leader.record.term:
             leader.stepped_down = True
--- a/packages/ownership/src/waxwinglever_ownership/membership.py
+++ b/packages/ownership/src/waxwinglever_ownership/membership.py
@@ -129,7 +129,9 @@
 
 def is_current(state: MemberState, heartbeat: messages.Heartbeat) -> bool:
     """Returns whether the heartbeat is above the last accepted one."""
-    if heartbeat.cell != state.cell or heartbeat.term < state.term:
+    if (heartbeat.cell, heartbeat.member) != (state.cell, state.node):
+        return False
+    if heartbeat.term < state.term:
         return False
     if heartbeat.term > state.term:
         return True
--- a/packages/ownership/src/waxwinglever_ownership/node.py
+++ b/packages/ownership/src/waxwinglever_ownership/node.py
@@ -205,7 +205,18 @@
 def handle_heartbeat(
     node: CellNode, heartbeat: messages.Heartbeat
 ) -> messages.HeartbeatAck:
-    """Applies a heartbeat, with what it carries, and acknowledges it."""
+    """Applies a heartbeat, with what it carries, and acknowledges it.
+
+    Raises:
+      InvalidInput: The heartbeat is for another node or cell.
+    """
+    if (heartbeat.cell, heartbeat.member) != (node.state.cell, node.me.node):
+        raise exceptions.InvalidInput(
+            f"the heartbeat is for node {heartbeat.member!r} of cell"
+            f" {heartbeat.cell!r}, and node {node.me.node!r} of"
+            f" {node.state.cell!r} has this address now",
+            "wait until the record drops the replaced node",
+        )
     for update in heartbeat.configs:
         accept_config(node, update.tenant, update.value)
     if heartbeat.directory is not None:
--- a/packages/ownership/tests/test_leadership.py
+++ b/packages/ownership/tests/test_leadership.py
@@ -58,6 +58,19 @@
             leadership.accept_ack(cell.leader, "b", wrong, cell.now)
         self.assertIsNone(cell.leader.followers["b"].last_ack)
 
+    def test_an_answer_of_another_node_changes_nothing(self):
+        # A VM that was replaced may have left its address to another node,
+        # even to one of another cell with a higher term.
+        cell = self.make.cell()
+        ack = cell.arrive("b", cell.send("b"))
+        for accepted, term in ((True, 1), (False, 9)):
+            other = attrs.evolve(
+                ack, node="x", accepted=accepted, highest_term=term
+            )
+            leadership.accept_ack(cell.leader, "b", other, cell.now)
+        self.assertIsNone(cell.leader.followers["b"].last_ack)
+        self.assertFalse(cell.leader.stepped_down)
+
     def test_a_higher_term_ends_the_leadership(self):
         cell = self.make.cell()
         cell.beat(rounds=2)
--- a/packages/ownership/tests/test_membership.py
+++ b/packages/ownership/tests/test_membership.py
@@ -21,6 +21,7 @@
             ("late", {"sequence": 1}),
             ("lower term", {"term": 0, "sequence": 99}),
             ("other leader", {"leader": "c", "sequence": 99}),
+            ("other member", {"member": "c", "sequence": 99}),
             ("other cell", {"cell": "t/x/0", "sequence": 99, "term": 9}),
         )
         for name, changes in cases:
--- a/packages/ownership/tests/test_node.py
+++ b/packages/ownership/tests/test_node.py
@@ -55,7 +55,16 @@
 
     def heard(self, made, **changes):
         heartbeat = messages.Heartbeat(
-            "t/s/0", 1, "b", "b-0", 1, 0, 0.0, 1, self.make.record()
+            "t/s/0",
+            1,
+            "b",
+            "b-0",
+            1,
+            0,
+            0.0,
+            1,
+            self.make.record(),
+            member="a",
         )
         return node.handle(made, attrs.evolve(heartbeat, **changes))
 
@@ -73,6 +82,19 @@
             ),
         )
 
+    def test_a_heartbeat_for_another_node_or_cell_is_refused(self):
+        made = self.new_node()
+        update = messages.ConfigUpdate("t", 3, self.make.config(3))
+        for wrong in ({"member": "b"}, {"cell": "t/x/0"}):
+            self.assertRaises(
+                exceptions.InvalidInput,
+                self.heard,
+                made,
+                configs=(update,),
+                **wrong,
+            )
+        self.assertEqual({}, configs.generations(made.book))
+
     def test_a_join_is_answered_by_the_leader_only(self):
         made = self.new_node("a")
         joining = messages.JoinRequest("t/s/0", self.make.member("d"))
--- a/packages/peers/src/waxwinglever_peers/messages.py
+++ b/packages/peers/src/waxwinglever_peers/messages.py
@@ -61,6 +61,8 @@
       configs: Configurations newer than the member's.
       directory: Lines of the other cells, when they changed.
       directory_version: Version of the leader's directory.
+      member: Node name of the receiver. Another node may have the address of
+        a replaced VM, and must not take leases of that VM's heartbeats.
     """
 
     cell: str
@@ -77,6 +79,7 @@
     configs: tuple[ConfigUpdate, ...] = ()
     directory: tuple[cells.CellLine, ...] | None = None
     directory_version: int = 0
+    member: str = attrs.field(kw_only=True)
 
 
 @attrs.frozen
--- a/packages/peers/tests/test_codec.py
+++ b/packages/peers/tests/test_codec.py
@@ -23,6 +23,7 @@
         4,
         RECORD,
         (cells.SliceRef(2**64 - 1, 1),),
+        member="b",
     ),
     messages.HeartbeatAck("a", "i", True, 2, 3, generations={"t": 1}),
     messages.JoinRequest("t/s/0", MEMBER, True),
