Keep heartbeat sequences rising for a member that joins again

Cause: the leader counted sequences for each follower and forgot a follower when its member left the record. A member that was removed after 30 s of silence and joined again in the same term got sequences below the last one that it had accepted, refused them all and stayed silent until the leader changed. Ruled out: the member's check (R1 needs it), and keeping all followers (it would grow with each replaced VM). Change: one count for all members. Before: test_a_member_that_was_removed_is_heard_after_it_joined_again failed; after: passes.

--- a/packages/ownership/src/waxwinglever_ownership/leadership.py
+++ b/packages/ownership/src/waxwinglever_ownership/leadership.py
@@ -18,7 +18,6 @@
     """What the leader knows of one member.
 
     Attributes:
-      sequence: Sequence of the last heartbeat sent.
       send_times: When the last heartbeats were sent, by sequence.
       acked_sequence: Last sequence acknowledged.
       acked_dates: Send time of the newest acknowledged heartbeat, by
@@ -33,7 +32,6 @@
       loads: Loads of its busiest slices.
     """
 
-    sequence: int = 0
     send_times: dict[int, float] = attrs.Factory(dict)
     acked_sequence: int = 0
     acked_dates: dict[str, float] = attrs.Factory(dict)
@@ -61,6 +59,8 @@
       takeover_at: When leases of an earlier leader are over for certain, in
         seconds; None until a majority has advanced to this term.
       advanced: Members that have advanced to this term.
+      sequence: Sequence of the last heartbeat to any member. One count for
+        all keeps it rising for a member that was removed and joined again.
       followers: By node name.
       lease_until: When each granted lease is over for certain, in seconds on
         this clock.
@@ -82,6 +82,7 @@
     since: float
     takeover_at: float | None = None
     advanced: set[str] = attrs.Factory(set)
+    sequence: int = 0
     followers: dict[str, Follower] = attrs.Factory(dict)
     lease_until: dict[cells.SliceRef, float] = attrs.Factory(dict)
     revoking: dict[cells.SliceRef, float] = attrs.Factory(dict)
@@ -141,8 +142,8 @@
         if leader.stepped_down:
             return None
         follower = follower_of(leader, node)
-        follower.sequence += 1
-        follower.send_times[follower.sequence] = now
+        leader.sequence += 1
+        follower.send_times[leader.sequence] = now
         while len(follower.send_times) > KEPT_SEND_TIMES:
             del follower.send_times[min(follower.send_times)]
         remaining = lease_remaining_s(leader, now)
@@ -167,7 +168,7 @@
             term=leader.record.term,
             leader=leader.node,
             leader_incarnation=leader.incarnation,
-            sequence=follower.sequence,
+            sequence=leader.sequence,
             base_sequence=follower.acked_sequence,
             remaining_s=remaining,
             record_version=leader.version,
--- a/packages/ownership/tests/test_leadership.py
+++ b/packages/ownership/tests/test_leadership.py
@@ -80,6 +80,22 @@
         self.assertIsNone(cell.send("b"))
 
 
+class RejoinTest(testtools.TestCase):
+    """Guards against a member that its leader can never reach again."""
+
+    def test_a_member_that_was_removed_is_heard_after_it_joined_again(self):
+        cell = self.make.cell()
+        cell.beat(rounds=5)
+        record = cell.leader.record
+        for members in (record.members[:2], record.members):
+            leadership.begin_change(
+                cell.leader, attrs.evolve(record, members=members)
+            )
+            leadership.confirm_change(cell.leader, cell.leader.version + 1)
+        ack = cell.arrive("c", cell.send("c"))
+        self.assertTrue(ack.accepted)
+
+
 class SuccessionTest(testtools.TestCase):
     """Guards against a successor that gives slices away early (R4, R7)."""
 
