Start the thread of a member again when it has ended

Cause: start_peers kept the ended thread of a recorded member. A member that was removed and joined again while its thread was in a call, or whose thread had an unexpected error, got no heartbeat for the rest of the term. Ruled out: supervising run_peer alone (it does not cover a member that joins again). Before: test_the_thread_of_a_member_is_started_again failed; after: passes.

--- a/packages/ownership/src/waxwinglever_ownership/node.py
+++ b/packages/ownership/src/waxwinglever_ownership/node.py
@@ -561,11 +561,11 @@
     leader: leadership.LeaderState,
     peers: dict[str, threading.Thread],
 ) -> None:
-    """Starts the thread of each member that has none."""
+    """Starts the thread of each member that has none that runs."""
     with leader.lock:
         members = {member.node: member for member in leader.record.members}
     for name, thread in list(peers.items()):
-        if name not in members and not thread.is_alive():
+        if not thread.is_alive():
             del peers[name]
     for name in members:
         if name not in peers:
--- a/packages/ownership/tests/test_node.py
+++ b/packages/ownership/tests/test_node.py
@@ -188,6 +188,22 @@
         node.write_change(made, leader, lost)
         self.assertTrue(leader.stepped_down)
 
+    def test_the_thread_of_a_member_is_started_again(self):
+        # It ends when its member leaves the record, and may see that only
+        # after the member has joined again.
+        made = self.new_node("a")
+        leader = leadership.new_leader(self.make.record(), 1, self.now, True)
+        ended = threading.Thread(target=lambda: None)
+        ended.start()
+        ended.join()
+        peers = {name: ended for name in "abc"}
+        node.start_peers(made, leader, peers)
+        started = list(peers.values())
+        leadership.step_down(leader)
+        self.assertNotIn(ended, started)
+        for thread in started:
+            thread.join()
+
     def test_three_nodes_serve_a_cell_and_survive_their_leader(self):
         nodes = {}
         cut = set()
