Accept a heartbeat that comes before any record

Cause: a member without a record, at version 0, applied the grants of a heartbeat of version 0 without a record and failed with an AttributeError, which ended the only thread that answers other daemons. Ruled out: the codec (the message is well formed). Change: grants need a record. Before: test_a_heartbeat_without_any_record_grants_nothing failed; after: passes.

--- a/packages/ownership/src/waxwinglever_ownership/membership.py
+++ b/packages/ownership/src/waxwinglever_ownership/membership.py
@@ -117,7 +117,8 @@
             state.record = heartbeat.record
             state.version = heartbeat.record_version
         drop_ended(state, now)
-        if state.version == heartbeat.record_version:
+        is_known = state.record is not None
+        if is_known and state.version == heartbeat.record_version:
             apply_grants(state, heartbeat, now)
         hand_back(state, now)
         state.send_times[heartbeat.sequence] = now
--- a/packages/ownership/tests/test_membership.py
+++ b/packages/ownership/tests/test_membership.py
@@ -31,6 +31,12 @@
             self.assertEqual(1, ack.highest_term, name)
             self.assertEqual(held, cell.members["b"].held, name)
 
+    def test_a_heartbeat_without_any_record_grants_nothing(self):
+        cell = self.make.cell()
+        bare = attrs.evolve(cell.send("b"), record=None, record_version=0)
+        self.assertTrue(cell.arrive("b", bare).accepted)
+        self.assertEqual({}, cell.members["b"].held)
+
     def test_a_higher_term_starts_a_new_sequence(self):
         cell = self.make.cell()
         cell.beat(rounds=3)
