Ignore a handover of the leadership from an earlier term

Ruled out: the compare-and-swap (it lets one candidate win, and this one is alone). Change: only a request of the present term or a higher one counts. Before: test_only_the_present_leader_hands_over failed; after: passes.

--- a/packages/ownership/src/waxwinglever_ownership/node.py
+++ b/packages/ownership/src/waxwinglever_ownership/node.py
@@ -182,8 +182,9 @@
                 node.state.term,
             )
         case messages.TransferLeadership():
-            if message.cell == node.state.cell:
-                with node.state.lock:
+            with node.state.lock:
+                is_current = message.term >= node.state.term
+                if is_mine(node, message.cell) and is_current:
                     node.stand_now = True
                     node.state.lock.notify_all()
             return messages.Accepted()
--- a/packages/ownership/tests/test_node.py
+++ b/packages/ownership/tests/test_node.py
@@ -139,6 +139,17 @@
         stored, _ = records.read(made.around.store, "t/s/0")
         self.assertEqual((2, "a"), (stored.term, stored.leader))
 
+    def test_only_the_present_leader_hands_over(self):
+        made = self.new_node()
+        self.heard(made, term=4)
+        for cell, term, expected in (
+            ("t/s/0", 3, False),
+            ("t/x/0", 4, False),
+            ("t/s/0", 4, True),
+        ):
+            node.handle(made, messages.TransferLeadership(cell, term))
+            self.assertEqual(expected, made.stand_now, (cell, term))
+
     def test_a_member_waits_for_the_leader_of_a_new_term(self):
         made = self.new_node("a", stored=self.make.record(leader="b", term=5))
         self.answers = {
