Let a node that returns before it has left keep its slices

Cause: the leader forgot that a node was leaving only once the record had dropped it. A node that restarted before that got weight 0, was removed and had to join a second time. Ruled out: the incarnation (the set of leaving nodes holds names). Change: a request to join ends an earlier request to leave. Before: test_a_node_that_returns_is_no_longer_leaving failed; after: passes.

--- a/packages/ownership/src/waxwinglever_ownership/node.py
+++ b/packages/ownership/src/waxwinglever_ownership/node.py
@@ -247,6 +247,7 @@
                 leader.leaving.add(request.member.node)
             is_done = recorded is None
         else:
+            leader.leaving.discard(request.member.node)
             is_done = recorded == request.member
             if not is_done:
                 leader.joins[request.member.node] = request.member
--- a/packages/ownership/tests/test_node.py
+++ b/packages/ownership/tests/test_node.py
@@ -150,6 +150,17 @@
             node.handle(made, messages.TransferLeadership(cell, term))
             self.assertEqual(expected, made.stand_now, (cell, term))
 
+    def test_a_node_that_returns_is_no_longer_leaving(self):
+        made = self.new_node()
+        record = self.make.record()
+        made.leader = leadership.new_leader(record, 1, self.now, True)
+        for life, leaving in ((0, True), (1, False)):
+            request = messages.JoinRequest(
+                "t/s/0", self.make.member("b", life), leaving
+            )
+            node.handle(made, request)
+            self.assertEqual(leaving, "b" in made.leader.leaving)
+
     def test_a_member_waits_for_the_leader_of_a_new_term(self):
         made = self.new_node("a", stored=self.make.record(leader="b", term=5))
         self.answers = {
