--- /dev/null
+++ b/packages/front/tests/conftest.py
@@ -0,0 +1,194 @@
+"""The request path of one daemon, with its outside made of closures."""
+
+import io
+import json
+
+import attrs
+import pytest
+
+from waxwinglever_admission import gate
+from waxwinglever_admission import outcomes
+from waxwinglever_backend import calls as backend_calls
+from waxwinglever_front import exchange
+from waxwinglever_front import site as sites
+from waxwinglever_model import cells
+from waxwinglever_model import clock
+from waxwinglever_ownership import configs
+from waxwinglever_ownership import directory
+from waxwinglever_ownership import membership
+from waxwinglever_ownership import node as ownership_node
+from waxwinglever_peers import links
+from waxwinglever_peers import messages
+from waxwinglever_telemetry import metrics
+
+ME = cells.Member("a", "a-0", "a:p", "a:h", "z")
+OTHER = cells.Member("b", "b-0", "b:p", "b:h", "z")
+LONG_S = 600.0
+
+
+def config_value(generation: int = 1, zone_state: str = "in") -> str:
+    """Returns a configuration with a service of each kind."""
+    service = {
+        "instances_min": 1,
+        "slots": 10,
+        "cold_start": {"initial_slots": 2, "seconds": 0.0},
+        "classes": [{"name": "default", "weight": 1}],
+        "timeout_ms": 5000,
+        "checks_fences": True,
+    }
+    document = {
+        "schema_version": 2,
+        "generation": generation,
+        "tenant": "t",
+        "zones": [{"name": "z", "region": "r", "state": zone_state}],
+        "services": [
+            {**service, "name": "keyed", "kind": "keyed"},
+            {**service, "name": "any", "kind": "any"},
+        ],
+        "placement": {"move_cost": 0.05, "max_moves": 4, "rules": []},
+        "retired": [],
+    }
+    return json.dumps(
+        {
+            "generation": generation,
+            "documents": {"2": document},
+            "history": [],
+        }
+    )
+
+
+@attrs.define(eq=False)
+class Front:
+    """A site, what it sent, and the answers that it gets.
+
+    Attributes:
+      site: The site; node a, in the cell of `service`.
+      orders: What the backend server got.
+      answers: Replies or errors of the backend server, then `ran` for ever.
+      forwarded: Address and request of each forwarded request.
+      replies: Replies of other daemons, then `ran` for ever.
+      told: Messages to other daemons.
+    """
+
+    service: str = "keyed"
+    orders: list = attrs.Factory(list)
+    answers: list = attrs.Factory(list)
+    forwarded: list = attrs.Factory(list)
+    replies: list = attrs.Factory(list)
+    told: list = attrs.Factory(list)
+    events: list = attrs.Factory(list)
+    site: sites.Site = attrs.field(init=False)
+
+    def __attrs_post_init__(self):
+        peers = links.PeerCalls(self.tell, lambda: None)
+        self.site = sites.Site(
+            ME,
+            configs.ConfigBook(),
+            directory.Directory(),
+            peers,
+            self.forward,
+            metrics.Metrics(),
+            lambda event, **fields: self.events.append((event, fields)),
+        )
+        configs.offer(self.site.book, "t", config_value())
+        self.site.node = ownership_node.new_node(
+            "t",
+            self.service,
+            ME,
+            ownership_node.Surroundings(None, peers, self.site.log),
+            self.site.book,
+            self.site.lines,
+        )
+        self.site.local = sites.Local(
+            "127.0.0.1:1",
+            10,
+            backend_calls.BackendCalls(
+                self.send,
+                lambda call_id: self.events.append(("cancel", call_id)),
+                lambda: backend_calls.Health("boot", "ready"),
+                lambda: None,
+            ),
+            gate.Gate(gate.Policy(10, 9, 10, 0.0), boot_id="boot"),
+            outcomes.Outcomes("a-0"),
+            clock.boottime_s(),
+            "ready",
+            True,
+        )
+        self.own("a")
+
+    def own(self, owner: str, epoch: int = 1) -> None:
+        """Gives the whole hash space to a node, with a lease if it is a."""
+        (item,) = cells.even_slices(1)
+        if owner:
+            item = attrs.evolve(item, owner=owner, epoch=epoch)
+        slices = (item,) if self.service == "keyed" else ()
+        state = self.site.node.state
+        with state.lock:
+            state.record = cells.CellRecord(
+                state.cell, 1, "a", "a-0", "w", (ME, OTHER), slices
+            )
+            state.version += 1
+            state.held.clear()
+            if owner == "a":
+                until = clock.boottime_s() + LONG_S
+                state.held[item.ref] = membership.HeldLease(item, 0.0, until)
+            state.lock.notify_all()
+
+    def send(self, order):
+        self.orders.append(order)
+        answer = self.answers.pop(0) if self.answers else None
+        if callable(answer):
+            answer = answer()
+        if isinstance(answer, Exception):
+            raise answer
+        return answer or backend_calls.Answer(200, (), b"done", "boot")
+
+    def forward(self, address, request):
+        self.forwarded.append((address, request))
+        reply = self.replies.pop(0) if self.replies else None
+        if isinstance(reply, Exception):
+            raise reply
+        return reply or exchange.Reply(200, (), b"far")
+
+    def tell(self, address, message, _):
+        self.told.append((address, message))
+        return messages.Accepted()
+
+    def request(self, method: str = "POST", **changes) -> exchange.Request:
+        values = {
+            "tenant": "t",
+            "service": self.service,
+            "method": method,
+            "path": "/x",
+            "headers": (),
+            "body": b"",
+            "key": "k" if self.service == "keyed" else None,
+            "request_class": "default",
+            "deadline_s": clock.boottime_s() + 30,
+        }
+        return exchange.Request(**{**values, **changes})
+
+
+def environ(path: str, method: str = "GET", body: bytes = b"", **headers):
+    """Returns a WSGI environment as CherryPy's server makes it."""
+    target, _, query = path.partition("?")
+    decoded = target.replace("%2F", "/").replace("%2e", ".")
+    made = {
+        "REQUEST_METHOD": method,
+        "SCRIPT_NAME": "/s",
+        "PATH_INFO": decoded,
+        "QUERY_STRING": query,
+        "REQUEST_URI": "/s" + path,
+        "wsgi.input": io.BytesIO(body),
+    }
+    if body:
+        made["CONTENT_LENGTH"] = str(len(body))
+    return {**made, **headers}
+
+
+@pytest.fixture(autouse=True)
+def front(request: pytest.FixtureRequest) -> None:
+    """Gives each test case the builders."""
+    request.instance.make_front = Front
+    request.instance.environ = environ
+    request.instance.config_value = config_value
--- /dev/null
+++ b/packages/front/tests/test_dispatch.py
@@ -0,0 +1,184 @@
+"""Tests of waxwinglever_front.dispatch."""
+
+import threading
+from concurrent import futures
+
+import attrs
+import testtools
+
+from waxwinglever_admission import gate
+from waxwinglever_admission import tickets
+from waxwinglever_backend import calls as backend_calls
+from waxwinglever_front import dispatch
+from waxwinglever_model import exceptions
+from waxwinglever_ownership import configs
+
+
+def broken(crashed):
+    return backend_calls.BrokenAnswer("lost", "look", crashed)
+
+
+class AtMostOnceTest(testtools.TestCase):
+    """Guards against a request with an id that runs twice (G7)."""
+
+    def setUp(self):
+        super().setUp()
+        self.front = self.make_front()
+
+    def serve(self, **changes):
+        request = self.front.request(**{"request_id": "r1", **changes})
+        return dispatch.serve(self.front.site, request, True)
+
+    def ticket(self):
+        error = self.assertRaises(exceptions.TicketRequired, self.serve)
+        self.assertEqual((428, "not-run"), (error.status, error.outcome))
+        return error.ticket
+
+    def test_a_repetition_gets_the_kept_answer(self):
+        ticket = self.ticket()
+        self.assertEqual([], self.front.orders)
+        first = self.serve(ticket=ticket)
+        self.assertEqual(first, self.serve(ticket=ticket))
+        self.assertEqual(1, len(self.front.orders))
+        self.serve(ticket=ticket, request_id="r2")
+        self.assertEqual(2, len(self.front.orders))
+
+    def test_a_stale_ticket_runs_nothing(self):
+        current = tickets.parse_ticket(self.ticket())
+        for change in (
+            {"epoch": 2},
+            {"cell": "t/x/0"},
+            {"incarnation": "a-9"},
+            {"mint": 5},
+        ):
+            stale = tickets.format_ticket(attrs.evolve(current, **change))
+            error = self.assertRaises(
+                exceptions.TicketRequired, self.serve, ticket=stale
+            )
+            self.assertEqual(tickets.format_ticket(current), error.ticket)
+        self.assertRaises(exceptions.BadRequest, self.serve, ticket="x")
+        self.assertEqual([], self.front.orders)
+
+    def test_a_lost_answer_is_never_run_again(self):
+        ticket = self.ticket()
+        self.front.answers = [broken(False)]
+        for _ in range(2):
+            error = self.assertRaises(
+                exceptions.OutcomeUnknown, self.serve, ticket=ticket
+            )
+            self.assertEqual("unknown", error.outcome)
+        self.assertEqual(1, len(self.front.orders))
+
+    def test_an_unexpected_error_counts_as_run(self):
+        ticket = self.ticket()
+        self.front.answers = [RuntimeError("bug")]
+        self.assertRaises(RuntimeError, self.serve, ticket=ticket)
+        self.assertRaises(exceptions.OutcomeUnknown, self.serve, ticket=ticket)
+
+    def test_a_request_that_did_not_run_may_run(self):
+        ticket = self.ticket()
+        for refusal in (exceptions.BackendUnavailable, exceptions.Overloaded):
+            self.front.answers = [refusal("no", "again")]
+            self.assertRaises(refusal, self.serve, ticket=ticket)
+        self.assertEqual(200, self.serve(ticket=ticket).status)
+
+
+class DispatchTest(testtools.TestCase):
+    """Guards against work that may not run here (G4, G8, R12)."""
+
+    def test_the_order_ends_with_the_lease_and_carries_the_fence(self):
+        front = self.make_front()
+        (lease,) = front.site.node.state.held.values()
+        lease.until = front.site.now() + 5
+        dispatch.serve(front.site, front.request(), True)
+        (order,) = front.orders
+        self.assertTrue(0 < order.timeout_ms <= 5000)
+        self.assertEqual(int(lease.until * 1e9), order.fence.expires_ns)
+        self.assertEqual((0, 1), (order.fence.start, order.fence.epoch))
+        self.assertEqual({}, dict(front.site.node.state.in_flight))
+
+    def test_a_lease_that_ends_in_the_queue_runs_nothing(self):
+        front = self.make_front()
+        running, free = threading.Event(), threading.Event()
+
+        def slow():
+            running.set()
+            free.wait(30)
+
+        front.answers = [slow]
+        local = front.site.local
+        gate.set_policy(local.gate, gate.Policy(1, 9, 1, 0.0))
+        with futures.ThreadPoolExecutor(2) as executor:
+            first = executor.submit(
+                dispatch.serve, front.site, front.request(), True
+            )
+            running.wait(30)
+            queued = executor.submit(
+                dispatch.serve, front.site, front.request(body=b"2"), True
+            )
+            while not gate.snapshot(local.gate).waiting:
+                running.wait(0.01)
+            front.own("b")
+            free.set()
+            self.assertEqual(200, first.result().status)
+            self.assertIsInstance(queued.exception(), exceptions.NotOwner)
+        self.assertEqual(1, len(front.orders))
+        self.assertEqual({}, dict(front.site.node.state.in_flight))
+
+    def test_a_service_without_keys_stops_when_its_zone_is_out(self):
+        front = self.make_front(service="any")
+        request = front.request()
+        dispatch.serve(front.site, request, False)
+        self.assertIsNone(front.orders[0].fence)
+        configs.offer(front.site.book, "t", self.config_value(2, "out"))
+        self.assertRaises(
+            exceptions.Draining, dispatch.serve, front.site, request, False
+        )
+        configs.offer(front.site.book, "t", self.config_value(3))
+        front.site.closing = True
+        self.assertRaises(
+            exceptions.Draining, dispatch.serve, front.site, request, False
+        )
+        self.assertEqual(1, len(front.orders))
+
+    def test_another_service_is_not_run(self):
+        front = self.make_front()
+        for request in (
+            front.request(service="any"),
+            front.request(tenant="u"),
+        ):
+            self.assertRaises(
+                exceptions.BackendUnavailable,
+                dispatch.serve,
+                front.site,
+                request,
+                False,
+            )
+
+    def test_suspects_are_reported_before_the_reply(self):
+        front = self.make_front()
+        front.answers = [broken(True)]
+        self.assertRaises(
+            exceptions.OutcomeUnknown,
+            dispatch.serve,
+            front.site,
+            front.request(),
+            True,
+        )
+        ((address, report),) = front.told
+        self.assertEqual(("b:p", 1), (address, len(report.suspects)))
+
+    def test_a_timeout_cancels_the_order_and_is_no_crash(self):
+        front = self.make_front()
+        front.answers = [broken(False)]
+        self.assertRaises(
+            exceptions.OutcomeUnknown,
+            dispatch.serve,
+            front.site,
+            front.request(),
+            True,
+        )
+        self.assertEqual([("cancel", front.orders[0].call_id)], front.events)
+        self.assertEqual(([], 1), (front.told, front.site.local.timeouts))
+        dispatch.serve(front.site, front.request(), True)
+        self.assertEqual(0, front.site.local.timeouts)
--- /dev/null
+++ b/packages/front/tests/test_hedging.py
@@ -0,0 +1,70 @@
+"""Tests of waxwinglever_front.hedging."""
+
+import threading
+from concurrent import futures
+
+import testtools
+
+from waxwinglever_front import exchange
+from waxwinglever_front import hedging
+
+RAN = exchange.Reply(200, (), b"first")
+OTHER = exchange.Reply(200, (), b"second")
+UNKNOWN = exchange.Reply(504, (), b"", "unknown")
+
+
+class HedgingTest(testtools.TestCase):
+    """Guards against a hedge that replaces a better answer."""
+
+    def hedge(self, first, second, may_hedge=True, delay_s=0.0):
+        with futures.ThreadPoolExecutor(2) as executor:
+            return hedging.first_answer(
+                executor, first, second, delay_s, lambda: may_hedge
+            )
+
+    def test_a_quick_answer_needs_no_second_try(self):
+        def never():
+            raise AssertionError("a second try")
+
+        got = self.hedge(lambda: RAN, never, delay_s=30.0)
+        self.assertEqual(RAN, got)
+
+    def test_a_slow_try_is_overtaken(self):
+        done = threading.Event()
+
+        def slow():
+            done.wait(30)
+            return RAN
+
+        def second():
+            return OTHER
+
+        with futures.ThreadPoolExecutor(2) as executor:
+            got = hedging.first_answer(
+                executor, slow, second, 0.0, lambda: True
+            )
+            done.set()
+        self.assertEqual(OTHER, got)
+
+    def test_a_try_that_did_not_run_waits_for_the_other(self):
+        failed = threading.Event()
+
+        def slow():
+            failed.wait(30)
+            return RAN
+
+        def second():
+            failed.set()
+            return UNKNOWN
+
+        self.assertEqual(RAN, self.hedge(slow, second))
+
+    def test_without_budget_there_is_one_try(self):
+        gate = threading.Event()
+        threading.Timer(0.01, gate.set).start()
+
+        def slow():
+            gate.wait(30)
+            return RAN
+
+        self.assertEqual(RAN, self.hedge(slow, lambda: OTHER, False))
