--- /dev/null
+++ b/packages/front/tests/test_application.py
@@ -0,0 +1,86 @@
+"""Tests of waxwinglever_front.application."""
+
+import json
+from unittest import mock
+
+import testtools
+
+from waxwinglever_front import application
+from waxwinglever_front import router
+from waxwinglever_front import wire
+from waxwinglever_model import exceptions
+
+# Error, status, outcome, and whether Retry-After is given.
+REFUSALS = (
+    (exceptions.NotOwner("m", "r", 300), 503, "not-run", True),
+    (exceptions.Overloaded("m", "r", 1), 503, "not-run", True),
+    (exceptions.Draining("m", "r", 1), 503, "not-run", True),
+    (exceptions.OutcomesFull("m", "r", 1), 503, "not-run", True),
+    (exceptions.TicketRequired("m", "r", "ticket"), 428, "not-run", True),
+    (exceptions.OverShare("m", "r", 1), 429, "not-run", True),
+    (exceptions.BadRequest("m", "r"), 400, "not-run", False),
+    (exceptions.UnknownService("m", "r"), 404, "not-run", False),
+    (exceptions.TooLarge("m", "r"), 413, "not-run", False),
+    (exceptions.OutcomeUnknown("m", "r"), 504, "unknown", False),
+    (exceptions.RefusedForGood("m", "r"), 422, "refused", False),
+)
+
+
+class ApplicationTest(testtools.TestCase):
+    """Guards against an answer whose outcome is missing or untrue (G6)."""
+
+    def setUp(self):
+        super().setUp()
+        self.front = self.make_front()
+
+    def ask(self, environ):
+        started = []
+        body = b"".join(
+            application.make_application(self.front.site)(
+                environ, lambda *given: started.append(given)
+            )
+        )
+        ((status, headers),) = started
+        self.assertEqual(len(body), int(dict(headers)["Content-Length"]))
+        return int(status.split()[0]), dict(headers), body
+
+    def test_an_answer_names_outcome_owner_and_map(self):
+        environ = self.environ("/t/keyed/x", HTTP_WAXWINGLEVER_KEY="k")
+        status, headers, body = self.ask(environ)
+        self.assertEqual((200, b"done"), (status, body))
+        self.assertEqual(
+            ("ran", "a:h", "1"),
+            (
+                headers[wire.OUTCOME],
+                headers[wire.OWNER],
+                headers[wire.MAP_VERSION],
+            ),
+        )
+
+    def test_each_refusal_has_its_status_outcome_and_remedy(self):
+        for error, status, outcome, has_retry in REFUSALS:
+            with mock.patch.object(router, "route", side_effect=error):
+                got, headers, body = self.ask(self.environ("/t/keyed/x"))
+            self.assertEqual(
+                (status, outcome, error.kind, has_retry),
+                (
+                    got,
+                    headers[wire.OUTCOME],
+                    headers[wire.REFUSAL],
+                    "Retry-After" in headers,
+                ),
+            )
+            self.assertEqual(
+                {"kind": error.kind, "message": "m", "remedy": "r"},
+                json.loads(body),
+            )
+            self.assertEqual(
+                getattr(error, "ticket", None), headers.get(wire.TICKET)
+            )
+
+    def test_an_unexpected_error_leaves_the_outcome_unknown(self):
+        with mock.patch.object(router, "route", side_effect=KeyError("k")):
+            status, headers, body = self.ask(self.environ("/t/keyed/x"))
+        self.assertEqual((500, "unknown"), (status, headers[wire.OUTCOME]))
+        self.assertTrue(json.loads(body)["remedy"])
+        self.assertEqual("request-failed", self.front.events[0][0])
--- /dev/null
+++ b/packages/front/tests/test_router.py
@@ -0,0 +1,144 @@
+"""Tests of waxwinglever_front.router."""
+
+import threading
+
+import testtools
+
+from waxwinglever_front import exchange
+from waxwinglever_front import router
+from waxwinglever_front import wire
+from waxwinglever_model import exceptions
+from waxwinglever_routing import balancer
+from waxwinglever_routing import budgets
+
+UNKNOWN = exceptions.OutcomeUnknown("lost", "look")
+
+
+def refused(kind=exceptions.NotOwner):
+    return wire.refusal_reply(kind("no", "again"))
+
+
+class KeyedTest(testtools.TestCase):
+    """Guards against lost, repeated or endless tries of a keyed request."""
+
+    def setUp(self):
+        super().setUp()
+        self.front = self.make_front()
+
+    def route(self, method="POST", **changes):
+        return router.route(
+            self.front.site, self.front.request(method, **changes)
+        )
+
+    def test_own_keys_run_here_and_others_are_forwarded(self):
+        self.assertEqual(b"done", self.route().body)
+        self.front.own("b")
+        reply = self.route()
+        self.assertEqual(
+            (b"far", "b:h", 2), (reply.body, reply.owner, reply.map_version)
+        )
+        self.assertEqual(1, len(self.front.orders))
+
+    def test_a_request_follows_its_key_to_the_next_owner(self):
+        self.front.own("b")
+        self.front.replies = [refused(), refused(exceptions.Draining)]
+        self.assertEqual(b"far", self.route().body)
+        self.assertEqual(3, len(self.front.forwarded))
+
+    def test_requests_that_wait_are_bounded(self):
+        self.front.own("b")
+        self.front.site.held = threading.BoundedSemaphore(1)
+        self.front.site.held.acquire()
+        self.front.replies = [refused()]
+        reply = self.route()
+        self.assertEqual("not-owner", router.refusal_kind(reply))
+        self.front.site.held.release()
+        self.front.replies = [refused()]
+        self.assertEqual(b"far", self.route().body)
+        self.assertTrue(self.front.site.held.acquire(blocking=False))
+
+    def test_a_forwarded_request_is_never_forwarded_again(self):
+        self.front.own("b")
+        reply = self.route(hops=1)
+        self.assertEqual(
+            ("not-run", "not-owner"),
+            (reply.outcome, router.refusal_kind(reply)),
+        )
+        self.assertEqual([], self.front.forwarded)
+
+    def test_only_a_safe_request_is_repeated_after_a_lost_answer(self):
+        self.front.own("b")
+        for method, tokens, tries in (
+            ("POST", 9, 1),
+            ("PUT", 9, 1),
+            ("GET", 9, 2),
+            ("GET", 0, 1),
+        ):
+            self.front.forwarded.clear()
+            self.front.replies = [UNKNOWN]
+            self.front.site.retries = budgets.Budget(0.0, tokens)
+            reply = self.route(method)
+            self.assertEqual(tries, len(self.front.forwarded), method)
+            outcome = "ran" if tries == 2 else "unknown"
+            self.assertEqual(outcome, reply.outcome)
+
+    def test_a_refusal_that_stays_is_returned(self):
+        self.front.own("b")
+        for kind in (exceptions.OverShare, exceptions.RefusedForGood):
+            self.front.replies = [refused(kind)]
+            self.assertEqual(kind.status, self.route().status)
+
+    def test_unknown_services_and_missing_keys_are_refused(self):
+        for changes, status in (
+            ({"tenant": "u"}, 404),
+            ({"service": "u"}, 404),
+            ({"key": None}, 400),
+        ):
+            reply = self.route(**changes)
+            self.assertEqual((status, "not-run"), (reply.status, reply.outcome))
+
+
+class AnyTest(testtools.TestCase):
+    """Guards against unbounded tries of a request without a key."""
+
+    def setUp(self):
+        super().setUp()
+        self.front = self.make_front(service="any")
+        # Each request goes to the other node first.
+        self.patch(
+            balancer,
+            "choose",
+            lambda _, nodes, exclude: sorted(set(nodes) - set(exclude))[-1],
+        )
+
+    def route(self, method="POST", **changes):
+        return router.route(
+            self.front.site, self.front.request(method, **changes)
+        )
+
+    def test_another_node_is_tried_within_the_budget(self):
+        for tokens, body in ((1, b"done"), (0, b"")):
+            self.front.site.retries = budgets.Budget(0.0, tokens)
+            self.front.replies = [refused(exceptions.Overloaded)]
+            reply = self.route()
+            self.assertEqual(
+                body, reply.body if reply.outcome == "ran" else b""
+            )
+
+    def test_only_safe_requests_are_hedged(self):
+        done = threading.Event()
+
+        def slow(address, request):
+            self.front.forwarded.append((address, request))
+            done.wait(0.2 if request.method == "POST" else 30)
+            return exchange.Reply(200, (), b"far")
+
+        self.front.site.forward = slow
+        self.assertEqual(b"far", self.route().body)
+        self.assertEqual([], self.front.orders)
+        self.assertEqual(b"done", self.route("GET").body)
+        done.set()
+
+    def test_a_forwarded_request_runs_here(self):
+        self.assertEqual(b"done", self.route(hops=1).body)
+        self.assertEqual([], self.front.forwarded)
--- /dev/null
+++ b/packages/front/tests/test_targets.py
@@ -0,0 +1,60 @@
+"""Tests of waxwinglever_front.targets."""
+
+import attrs
+import testtools
+
+from waxwinglever_admission import tickets
+from waxwinglever_front import targets
+from waxwinglever_model import cells
+from waxwinglever_ownership import directory
+from waxwinglever_peers import links
+from waxwinglever_peers import messages
+
+
+class TargetsTest(testtools.TestCase):
+    """Guards against a request that goes to the wrong node."""
+
+    def test_a_ticket_names_the_only_node(self):
+        front = self.make_front(service="any")
+        request = front.request(request_id="r")
+
+        def names(item):
+            found = targets.candidates(front.site, item)
+            return [target.member.node for target in found]
+
+        self.assertEqual(["a", "b"], names(request))
+        for incarnation, expected in (("b-0", ["b"]), ("b-9", ["a", "b"])):
+            ticket = tickets.Ticket("t/any/0", 0, incarnation, 0)
+            given = attrs.evolve(request, ticket=tickets.format_ticket(ticket))
+            self.assertEqual(expected, names(given))
+
+    def test_the_map_of_another_cell_is_fetched_once(self):
+        front = self.make_front(service="any")
+        asked = []
+        record = cells.CellRecord(
+            "t/keyed/0",
+            1,
+            "x",
+            "x-0",
+            "w",
+            (cells.Member("x", "x-0", "x:p", "x:h", "z"),),
+            tuple(
+                attrs.evolve(item, owner="x", epoch=1)
+                for item in cells.even_slices(2)
+            ),
+        )
+        directory.learn(front.site.lines, [cells.line_of(record, 4)])
+
+        def call(address, message, _):
+            asked.append((address, message))
+            if len(asked) == 1:
+                raise links.unavailable(address, "cut")
+            return messages.MapReply(message.cell, 4, record)
+
+        front.site.peers = links.PeerCalls(call, lambda: None)
+        request = front.request(service="keyed", key="k")
+        self.assertIsNone(targets.owner_of(front.site, request))
+        for _ in range(2):
+            target = targets.owner_of(front.site, request)
+            self.assertEqual(("x", 4), (target.member.node, target.version))
+        self.assertEqual([("x:p", messages.MapRequest("t/keyed/0"))] * 2, asked)
