Wait for a new map when a key has no owner

Cause: wait_for_map compared the version of the record with 0 when no owner was known, found a newer one at once and returned. Each request for a slice without an owner looked its owner up in a loop until its deadline. Ruled out: the lock's notifications (heartbeats notify every 0.3 s).

--- a/packages/front/src/waxwinglever_front/router.py
+++ b/packages/front/src/waxwinglever_front/router.py
@@ -143,9 +143,9 @@
     """Waits until the map may have changed."""
     node = site.node
     if sites.is_own_service(site, request.tenant, request.service):
-        version = target.version if target is not None else 0
         with node.state.lock:
-            if node.state.version <= version:
+            # Without a target no version tells whether the map changed.
+            if target is None or node.state.version <= target.version:
                 node.state.lock.wait(HOLD_S)
         return
     site.stopping.wait(HOLD_S)
--- a/packages/front/tests/test_router.py
+++ b/packages/front/tests/test_router.py
@@ -1,12 +1,15 @@
 """Tests of waxwinglever_front.router."""
 
 import threading
+from unittest import mock
 
 import testtools
 
 from waxwinglever_front import exchange
 from waxwinglever_front import router
+from waxwinglever_front import targets
 from waxwinglever_front import wire
+from waxwinglever_model import clock
 from waxwinglever_model import exceptions
 from waxwinglever_routing import balancer
 from waxwinglever_routing import budgets
@@ -88,6 +91,15 @@
             self.front.replies = [refused(kind)]
             self.assertEqual(kind.status, self.route().status)
 
+    def test_a_key_without_owner_is_awaited_without_spinning(self):
+        self.front.own("")
+        with mock.patch.object(
+            targets, "owner_of", wraps=targets.owner_of
+        ) as looked:
+            reply = self.route(deadline_s=clock.boottime_s() + 0.4)
+        self.assertEqual("not-owner", router.refusal_kind(reply))
+        self.assertTrue(looked.call_count < 20, looked.call_count)
+
     def test_unknown_services_and_missing_keys_are_refused(self):
         for changes, status in (
             ({"tenant": "u"}, 404),
