Spend no retries while no node of a service takes work

Cause: the refusal for a service without candidates has a kind that allows another try, so each request tried up to ten times at once and emptied the budget that all services of the daemon share. Ruled out: the budget's size (the tries could not succeed). Change: the refusal is raised and ends the request. Before: test_a_zone_that_is_out_spends_no_budget failed, 10 != 0; after: passes.

--- a/packages/front/src/waxwinglever_front/router.py
+++ b/packages/front/src/waxwinglever_front/router.py
@@ -168,15 +168,17 @@
 def try_any(
     site: sites.Site, request: exchange.Request, refused: set[str]
 ) -> exchange.Reply:
-    """Sends the request to a chosen node; a safe one may be hedged."""
+    """Sends the request to a chosen node; a safe one may be hedged.
+
+    Raises:
+      BackendUnavailable: No node takes new work, so no try can help.
+    """
     found = {t.member.node: t for t in targets.candidates(site, request)}
     if not found:
-        return wire.refusal_reply(
-            exceptions.BackendUnavailable(
-                "no node of the service takes new work",
-                "take a zone in, or start backend servers",
-                retry_after_ms=1000,
-            )
+        raise exceptions.BackendUnavailable(
+            "no node of the service takes new work",
+            "take a zone in, or start backend servers",
+            retry_after_ms=1000,
         )
     nodes = balancer_of(site, request)
     exclude = refused if len(refused) < len(found) else set()
--- a/packages/front/tests/test_router.py
+++ b/packages/front/tests/test_router.py
@@ -11,6 +11,7 @@
 from waxwinglever_front import wire
 from waxwinglever_model import clock
 from waxwinglever_model import exceptions
+from waxwinglever_ownership import configs
 from waxwinglever_routing import balancer
 from waxwinglever_routing import budgets
 
@@ -154,3 +155,10 @@
     def test_a_forwarded_request_runs_here(self):
         self.assertEqual(b"done", self.route(hops=1).body)
         self.assertEqual([], self.front.forwarded)
+
+    def test_a_zone_that_is_out_spends_no_budget(self):
+        configs.offer(self.front.site.book, "t", self.config_value(2, "out"))
+        before = self.front.site.retries.tokens
+        reply = self.route()
+        self.assertEqual("backend-unavailable", router.refusal_kind(reply))
+        self.assertEqual(before, self.front.site.retries.tokens)
