Answer a request that can't be read as not run

Cause: an error while the body was read, such as the server's error for a bad chunk or a chunked body over the limit, was answered with status 500 and an unknown outcome, although nothing had been routed. Ruled out: naming the server's error types in front (it does not depend on the server). Change: an error before the request is parsed gets 400 and 'not run'. Before: test_an_error_before_the_request_is_read_ran_nothing failed; after: passes.

--- a/packages/front/src/waxwinglever_front/application.py
+++ b/packages/front/src/waxwinglever_front/application.py
@@ -30,7 +30,10 @@
             reply = wire.refusal_reply(error)
         except Exception as error:  # pylint: disable=broad-exception-caught
             site.log("request-failed", error=repr(error))
-            reply = failure_reply(error)
+            if request is None:
+                reply = unread_reply(error)
+            else:
+                reply = failure_reply(error)
         observe(site, request, reply, site.now() - began)
         status = f"{reply.status} {phrase(reply.status)}"
         start_response(status, wire.reply_headers(reply))
@@ -39,6 +42,17 @@
     return application
 
 
+def unread_reply(error: Exception) -> exchange.Reply:
+    """Returns the reply to a request that the server could not read."""
+    return wire.refusal_reply(
+        exceptions.BadRequest(
+            f"the request can't be read: {type(error).__name__}",
+            "send a complete body of at most"
+            f" {limits.MAX_BODY_BYTES} bytes and try again",
+        )
+    )
+
+
 def failure_reply(error: Exception) -> exchange.Reply:
     """Returns the reply to an error that the daemon did not expect."""
     body = {
--- a/packages/front/tests/test_application.py
+++ b/packages/front/tests/test_application.py
@@ -78,6 +78,16 @@
                 getattr(error, "ticket", None), headers.get(wire.TICKET)
             )
 
+    def test_an_error_before_the_request_is_read_ran_nothing(self):
+        class BrokenBody:
+
+            def read(self, _):
+                raise RuntimeError("bad chunk")
+
+        environ = self.environ("/t/keyed/x", "POST", b"1")
+        status, headers, _ = self.ask({**environ, "wsgi.input": BrokenBody()})
+        self.assertEqual((400, "not-run"), (status, headers[wire.OUTCOME]))
+
     def test_an_unexpected_error_leaves_the_outcome_unknown(self):
         with mock.patch.object(router, "route", side_effect=KeyError("k")):
             status, headers, body = self.ask(self.environ("/t/keyed/x"))
