Drop a backend server's headers that pose as the daemon's

Cause: answers of the backend server were passed on with headers that begin with Waxwinglever-, so a caller could read an outcome that the daemon had not stated. Ruled out: the client of the backend server (it drops connection headers only). Change: dispatch keeps end-to-end headers only. Before: test_headers_of_the_server_can_not_pose_as_the_daemon_s failed; after: passes.

--- a/packages/front/src/waxwinglever_front/dispatch.py
+++ b/packages/front/src/waxwinglever_front/dispatch.py
@@ -9,6 +9,7 @@
 from waxwinglever_front import crashes
 from waxwinglever_front import exchange
 from waxwinglever_front import site as sites
+from waxwinglever_front import wire
 from waxwinglever_model import exceptions
 from waxwinglever_model import identifiers
 from waxwinglever_ownership import configs
@@ -141,7 +142,9 @@
             membership.finish(state, request.point)
     if admission.cleared:
         crashes.report_cleared(site, work.fingerprint)
-    return exchange.Reply(answer.status, answer.headers, answer.body)
+    # Only the daemon may state an outcome.
+    headers = wire.end_to_end(answer.headers)
+    return exchange.Reply(answer.status, headers, answer.body)
 
 
 def check_not_leaving(site: sites.Site) -> None:
--- a/packages/front/tests/test_dispatch.py
+++ b/packages/front/tests/test_dispatch.py
@@ -168,6 +168,13 @@
         ((address, report),) = front.told
         self.assertEqual(("b:p", 1), (address, len(report.suspects)))
 
+    def test_headers_of_the_server_can_not_pose_as_the_daemon_s(self):
+        front = self.make_front()
+        headers = (("Waxwinglever-Outcome", "not-run"), ("X-A", "1"))
+        front.answers = [backend_calls.Answer(200, headers, b"", "boot")]
+        reply = dispatch.serve(front.site, front.request(), True)
+        self.assertEqual((("X-A", "1"),), reply.headers)
+
     def test_a_timeout_cancels_the_order_and_is_no_crash(self):
         front = self.make_front()
         front.answers = [broken(False)]
