Give a draining backend server no new work without keys

Cause: for a service without keys the check at dispatch looked at the zone and at the daemon's own shutdown, but not at a backend server that had announced that it drains, or was absent or frozen. Ruled out: slices (a service without keys has none). Change: the check refuses while the membership drains. Before: test_a_service_without_keys_stops_when_its_zone_is_out failed with draining set; after: passes.

--- a/packages/front/src/waxwinglever_front/dispatch.py
+++ b/packages/front/src/waxwinglever_front/dispatch.py
@@ -154,7 +154,8 @@
       Draining: The node, or its zone, takes no new work.
     """
     is_out = site.me.zone in configs.zones_out(site.book, site.node.tenant)
-    if is_out or site.closing:
+    # The node drains, too, while its backend server is absent or leaving.
+    if is_out or site.closing or site.node.state.draining:
         raise exceptions.Draining(
             f"node {site.me.node} takes no new work",
             "send the request to another daemon",
--- a/packages/front/tests/test_dispatch.py
+++ b/packages/front/tests/test_dispatch.py
@@ -139,6 +139,11 @@
         self.assertRaises(
             exceptions.Draining, dispatch.serve, front.site, request, False
         )
+        front.site.closing = False
+        front.site.node.state.draining = True
+        self.assertRaises(
+            exceptions.Draining, dispatch.serve, front.site, request, False
+        )
         self.assertEqual(1, len(front.orders))
 
     def test_another_service_is_not_run(self):
