Forward a request with its path unchanged

Cause: the client library resolves dot segments of a URL, so a forwarded request for /s/t/keyed/a/../../../u/v/x reached the other daemon as /s/u/v/x, that is, as one for another tenant, while the same request reached the own backend server unchanged. Ruled out: refusing dot segments (%2e%2e and .. are the service's matter). Change: the pool of the address gets the target as it is. Before: test_the_target_stays_as_it_is failed; after: passes.

--- a/packages/front/src/waxwinglever_front/forward.py
+++ b/packages/front/src/waxwinglever_front/forward.py
@@ -40,10 +40,8 @@
                 "send it again with a longer timeout",
                 retry_after_ms=0,
             )
-        url = (
-            f"http://{address}/s/{request.tenant}/{request.service}"
-            f"{request.path}"
-        )
+        host, _, port = address.rpartition(":")
+        target = f"/s/{request.tenant}/{request.service}{request.path}"
         headers = urllib3.HTTPHeaderDict(
             wire.forwarded_headers(request, int(remaining_s * 1000))
         )
@@ -51,9 +49,11 @@
             connect=min(CONNECT_TIMEOUT_S, remaining_s), read=remaining_s
         )
         try:
-            response = pools.request(
+            # PoolManager.request would resolve dot segments in the path.
+            pool = pools.connection_from_host(host.strip("[]"), int(port))
+            response = pool.request(
                 request.method,
-                url,
+                target,
                 headers=headers,
                 body=request.body or None,
                 timeout=timeout,
--- /dev/null
+++ b/packages/front/tests/test_forward.py
@@ -0,0 +1,70 @@
+"""Tests of waxwinglever_front.forward."""
+
+import http.server
+import threading
+
+import testtools
+
+from waxwinglever_front import forward
+from waxwinglever_front import wire
+from waxwinglever_model import clock
+from waxwinglever_model import exceptions
+
+HOST = "127.61.0.9"
+
+
+class Handler(http.server.BaseHTTPRequestHandler):
+    """Answers with the target that it got, or breaks the connection."""
+
+    protocol_version = "HTTP/1.1"
+
+    def do_GET(self):  # pylint: disable=invalid-name
+        if self.path.endswith("/break"):
+            self.close_connection = True
+            return
+        body = self.path.encode()
+        self.send_response(200)
+        self.send_header(wire.OUTCOME, "ran")
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, *_):
+        """Keeps the output of the tests short."""
+
+
+class ForwardTest(testtools.TestCase):
+    """Guards against a forwarded request that changes or runs twice."""
+
+    def setUp(self):
+        super().setUp()
+        server = http.server.ThreadingHTTPServer((HOST, 0), Handler)
+        server.daemon_threads = True
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+        self.addCleanup(server.server_close)
+        self.addCleanup(server.shutdown)
+        self.address = f"{HOST}:{server.server_port}"
+        self.call = forward.http_forward(HOST)
+
+    def send(self, path, address=None, **changes):
+        request = self.make_front().request("GET", path=path, **changes)
+        return self.call(address or self.address, request)
+
+    def test_the_target_stays_as_it_is(self):
+        # The case of the digits in an escape has no meaning (RFC 3986).
+        for path in ("/a%2Fb?q=%2F", "/a/../../../u/v/x", "/%2E%2E/x", "//x"):
+            reply = self.send(path)
+            self.assertEqual("ran", reply.outcome)
+            self.assertEqual(f"/s/t/keyed{path}", reply.body.decode())
+
+    def test_only_a_refused_connection_is_not_run(self):
+        self.assertRaises(exceptions.OutcomeUnknown, self.send, "/break")
+        self.assertRaises(
+            exceptions.BackendUnavailable, self.send, "/x", f"{HOST}:9"
+        )
+        self.assertRaises(
+            exceptions.Overloaded,
+            self.send,
+            "/x",
+            deadline_s=clock.boottime_s(),
+        )
