Refuse an announcement whose address is not IP:port

Cause: the address was not checked, and a bad one failed with ValueError while the client of the backend server was made: the announcement got status 500 without a remedy, after the node had joined its cell. Ruled out: the client (it is right to fail). Change: one check for announcements and the daemon's settings. It also refuses an IPv6 address without brackets, which the settings had accepted. Before: test_a_bad_one_is_refused failed for 'nonsense'; after: passes.

--- a/packages/daemon/src/waxwinglever_daemon/settings.py
+++ b/packages/daemon/src/waxwinglever_daemon/settings.py
@@ -1,6 +1,5 @@
 """The daemon's settings: a JSON file, checked at start."""
 
-import ipaddress
 import json
 import pathlib
 
@@ -16,13 +15,7 @@
 
 def is_address(_, attribute, value: str) -> None:
     """Checks that a value is IP:port."""
-    host, _, port = value.rpartition(":")
-    try:
-        ipaddress.ip_address(host.strip("[]"))
-        is_good = port.isdigit() and 0 < int(port) < 65536
-    except ValueError:
-        is_good = False
-    if not is_good:
+    if not identifiers.is_address(value):
         raise ValueError(f"{attribute.name} must be IP:port, not {value!r}")
 
 
--- a/packages/front/src/waxwinglever_front/announcements.py
+++ b/packages/front/src/waxwinglever_front/announcements.py
@@ -21,6 +21,12 @@
         raise ValueError(f"{attribute.name} {value[:64]!r} is not a name")
 
 
+def is_address(_, attribute, value: str) -> None:
+    """Checks that a value is IP:port."""
+    if not identifiers.is_address(value):
+        raise ValueError(f"{attribute.name} {value[:64]!r} is not IP:port")
+
+
 def is_positive(_, attribute, value: int) -> None:
     """Checks that a number is positive."""
     if value < 1:
@@ -34,7 +40,7 @@
     Attributes:
       tenant: Name of the tenant.
       service: Name of the service.
-      address: host:port of the backend server.
+      address: IP:port of the backend server.
       boot_id: Random id of this life of the server.
       slots: Requests that it can run at once.
       connections: Connections that it accepts.
@@ -44,7 +50,7 @@
 
     tenant: str = attrs.field(validator=is_name)
     service: str = attrs.field(validator=is_name)
-    address: str
+    address: str = attrs.field(validator=is_address)
     boot_id: str
     slots: int = attrs.field(validator=is_positive)
     connections: int = attrs.field(validator=is_positive)
--- a/packages/front/tests/test_announcements.py
+++ b/packages/front/tests/test_announcements.py
@@ -26,6 +26,9 @@
     {"checks_fences": 1},
     {"state": "well"},
     {"boot_id": None},
+    {"address": "nonsense"},
+    {"address": "127.0.0.1:0"},
+    {"address": "host:9000"},
 )
 
 
--- a/packages/model/src/waxwinglever_model/identifiers.py
+++ b/packages/model/src/waxwinglever_model/identifiers.py
@@ -1,5 +1,6 @@
 """Random identifiers and their checks."""
 
+import ipaddress
 import re
 import secrets
 
@@ -20,3 +21,17 @@
 def is_request_id(text: str) -> bool:
     """Returns whether `text` may be a request id."""
     return REQUEST_ID.fullmatch(text) is not None
+
+
+def is_address(text: str) -> bool:
+    """Returns whether `text` is IP:port, with an IPv6 address in brackets."""
+    host, _, port = text.rpartition(":")
+    is_bracketed = host.startswith("[") and host.endswith("]")
+    try:
+        version = ipaddress.ip_address(
+            host[1:-1] if is_bracketed else host
+        ).version
+        number = int(port) if port.isascii() and port.isdigit() else 0
+    except ValueError:
+        return False
+    return is_bracketed == (version == 6) and 0 < number < 65536
