Say in settings errors what is wrong with a value

Cause: cattrs drops the message of a failed check, so a bad address or a number out of range was reported as 'invalid value @ settings', without the key. Ruled out: structuring each key apart (the checks are on the class). Change: the message of the check is kept. Before: test_an_error_names_the_key_and_the_remedy failed, 'node' not in 'invalid value @ settings'; after: passes.

--- a/packages/daemon/src/waxwinglever_daemon/settings.py
+++ b/packages/daemon/src/waxwinglever_daemon/settings.py
@@ -6,7 +6,7 @@
 import attrs
 import cattrs
 import cattrs.errors
-import cattrs.gen
+import cattrs.v
 
 from waxwinglever_model import exceptions
 from waxwinglever_model import identifiers
@@ -80,6 +80,13 @@
     return converter
 
 
+def described(error: BaseException, kind: type | None) -> str:
+    """Returns the message of a check, which cattrs would leave out."""
+    if type(error) is ValueError:
+        return str(error)
+    return cattrs.v.format_exception(error, kind)
+
+
 def parse(text: str) -> Settings:
     """Returns the settings in JSON text.
 
@@ -94,7 +101,11 @@
             raise ValueError("the file must hold a JSON object")
         return make_converter().structure(values, Settings)
     except cattrs.errors.ClassValidationError as error:
-        details = "; ".join(cattrs.transform_error(error, path="settings"))
+        details = "; ".join(
+            cattrs.transform_error(
+                error, path="settings", format_exception=described
+            )
+        )
         raise exceptions.InvalidInput(
             details, "correct the settings file; see docs/operations.md"
         ) from error
