--- /dev/null
+++ b/packages/daemon/tests/test_assembly.py
@@ -0,0 +1,101 @@
+"""Tests of waxwinglever_daemon.assembly."""
+
+from unittest import mock
+
+import testtools
+
+from waxwinglever_admission import gate
+from waxwinglever_daemon import assembly
+from waxwinglever_front import site as sites
+from waxwinglever_model import exceptions
+from waxwinglever_model import limits
+from waxwinglever_ownership import configs
+from waxwinglever_ownership import node as ownership_node
+from waxwinglever_peers import messages
+
+
+class AssemblyTest(testtools.TestCase):
+    """Guards against a daemon that misjudges its backend server."""
+
+    def setUp(self):
+        super().setUp()
+        self.daemon = self.make.daemon()
+        self.site = self.daemon.site
+        # The threads of a node have their own tests.
+        self.patch(ownership_node, "start", lambda _: None)
+
+    def announce(self, **changes):
+        assembly.take_announcement(
+            self.daemon, self.make.announcement(**changes)
+        )
+
+    def draining_after_a_look(self):
+        """Lets the watching thread look once."""
+        waits = iter((False, True))
+        with mock.patch.object(
+            self.site.stopping, "wait", lambda _: next(waits)
+        ):
+            assembly.watch_backend(self.daemon)
+        return self.site.node.state.draining
+
+    def test_a_message_before_any_announcement_is_refused(self):
+        self.assertRaises(
+            exceptions.InvalidInput,
+            assembly.handle,
+            self.daemon,
+            messages.MapRequest("t/s/0"),
+        )
+
+    def test_an_announcement_of_another_service_is_refused(self):
+        self.announce()
+        node = self.site.node
+        for changes in ({"service": "x"}, {"tenant": "x"}):
+            self.assertRaises(exceptions.InvalidInput, self.announce, **changes)
+        self.assertIs(node, self.site.node)
+
+    def test_slices_are_handed_back_while_the_server_is_absent(self):
+        self.announce()
+        self.assertFalse(self.draining_after_a_look())
+        self.site.local.heard_s -= limits.BACKEND_ABSENCE_S
+        self.assertTrue(self.draining_after_a_look())
+        self.announce(state="starting", boot_id="next")
+        self.assertTrue(self.draining_after_a_look())
+        self.announce(state="ready")
+        self.assertFalse(self.draining_after_a_look())
+        self.announce(state="draining")
+        self.assertTrue(self.draining_after_a_look())
+
+    def test_a_server_that_answers_nothing_is_frozen(self):
+        self.announce()
+        local = self.site.local
+        health = mock.Mock(
+            side_effect=exceptions.BackendUnavailable("no", "again")
+        )
+        local.calls = mock.Mock(health=health)
+        local.timeouts = sites.FROZEN_AFTER_TIMEOUTS
+        self.assertTrue(self.draining_after_a_look())
+        health.side_effect = None
+        self.assertFalse(self.draining_after_a_look())
+        self.assertEqual(0, local.timeouts)
+
+    def test_the_gate_follows_announcement_and_configuration(self):
+        self.announce(slots=10)
+        local = self.site.local
+        self.assertEqual(10, local.gate.policy.slots)
+        self.assertEqual(2, local.gate.policy.cold_start_slots)
+        for generation, slots in ((1, 4), (2, 30)):
+            configs.offer(
+                self.site.book, "t", self.make.config(generation, slots)
+            )
+            self.draining_after_a_look()
+            self.assertEqual(min(10, slots), local.gate.policy.slots)
+
+    def test_a_new_boot_starts_cold(self):
+        self.announce()
+        with mock.patch.object(gate, "saw_boot") as saw:
+            self.announce(boot_id="next")
+        saw.assert_called_once_with(self.site.local.gate, "next")
+
+    def test_a_drain_without_a_cell_ends_at_once(self):
+        self.assertTrue(assembly.drain(self.daemon))
+        self.assertTrue(self.site.closing)
