Keep the outcomes when a backend server gets another address

Cause: an announcement with another address made a new table of outcomes under the same incarnation. Ruled out: the mint index (a new table begins at 0 again). Change: the table lives as long as the daemon. Before: test_a_server_at_a_new_address_keeps_the_outcomes failed; after: passes.

--- a/packages/daemon/src/waxwinglever_daemon/assembly.py
+++ b/packages/daemon/src/waxwinglever_daemon/assembly.py
@@ -187,8 +187,14 @@
 def connect(
     daemon: Daemon, announcement: announcements.Announcement
 ) -> sites.Local:
-    """Returns the gate and the calls for a backend server."""
+    """Returns the gate and the calls for a backend server.
+
+    A server that comes back at another address keeps the table of outcomes:
+    tickets of this incarnation stay valid, so a new table would let requests
+    run again.
+    """
     site = daemon.site
+    known = site.local
     return sites.Local(
         address=announcement.address,
         slots=announcement.slots,
@@ -198,7 +204,11 @@
         gate=gate.Gate(
             make_policy(site, site.node, announcement.slots), site.now
         ),
-        outcomes=outcomes.Outcomes(site.me.incarnation, site.now),
+        outcomes=(
+            known.outcomes
+            if known is not None
+            else outcomes.Outcomes(site.me.incarnation, site.now)
+        ),
         heard_s=site.now(),
         state=announcement.state,
         checks_fences=announcement.checks_fences,
--- a/packages/daemon/tests/test_assembly.py
+++ b/packages/daemon/tests/test_assembly.py
@@ -5,6 +5,7 @@
 import testtools
 
 from waxwinglever_admission import gate
+from waxwinglever_admission import outcomes
 from waxwinglever_daemon import assembly
 from waxwinglever_front import site as sites
 from waxwinglever_model import exceptions
@@ -96,6 +97,23 @@
             self.announce(boot_id="next")
         saw.assert_called_once_with(self.site.local.gate, "next")
 
+    def test_a_server_at_a_new_address_keeps_the_outcomes(self):
+        self.announce()
+        table = self.site.local.outcomes
+        ticket = outcomes.current_ticket(table, "t/s/0", 1)
+        outcomes.begin(table, ticket, "r", self.site.now() + 30)
+        outcomes.lose(table, ticket, "r")
+        self.announce(address="127.61.0.1:9001", boot_id="next")
+        self.assertEqual("127.61.0.1:9001", self.site.local.address)
+        self.assertRaises(
+            exceptions.OutcomeUnknown,
+            outcomes.begin,
+            self.site.local.outcomes,
+            ticket,
+            "r",
+            self.site.now() + 30,
+        )
+
     def test_a_drain_without_a_cell_ends_at_once(self):
         self.assertTrue(assembly.drain(self.daemon))
         self.assertTrue(self.site.closing)
