Follow the number of slots that a backend server announces

Cause: only the first announcement of an address set the gate's slots. Ruled out: the configuration (it bounds the slots only from above). Change: another number of slots gives the gate a new policy. Before: test_a_server_that_announces_fewer_slots_gets_fewer failed, 10 != 3; after: passes.

--- a/packages/daemon/src/waxwinglever_daemon/assembly.py
+++ b/packages/daemon/src/waxwinglever_daemon/assembly.py
@@ -136,6 +136,10 @@
         local = site.local
         if local is None or local.address != announcement.address:
             local = site.local = connect(daemon, announcement)
+        if local.slots != announcement.slots:
+            local.slots = announcement.slots
+            policy = make_policy(site, site.node, local.slots)
+            gate.set_policy(local.gate, policy)
         local.heard_s = site.now()
         local.state = announcement.state
         local.checks_fences = announcement.checks_fences
--- a/packages/daemon/tests/test_assembly.py
+++ b/packages/daemon/tests/test_assembly.py
@@ -91,6 +91,13 @@
             self.draining_after_a_look()
             self.assertEqual(min(10, slots), local.gate.policy.slots)
 
+    def test_a_server_that_announces_fewer_slots_gets_fewer(self):
+        self.announce(slots=10)
+        gated = self.site.local.gate
+        self.announce(slots=3, boot_id="next")
+        self.assertIs(gated, self.site.local.gate)
+        self.assertEqual(3, gated.policy.slots)
+
     def test_a_new_boot_starts_cold(self):
         self.announce()
         with mock.patch.object(gate, "saw_boot") as saw:
