--- a/packages/front/src/waxwinglever_front/dispatch.py
+++ b/packages/front/src/waxwinglever_front/dispatch.py
@@ -9,6 +9,7 @@
 from waxwinglever_front import crashes
 from waxwinglever_front import exchange
 from waxwinglever_front import site as sites
+from waxwinglever_front import wire
 from waxwinglever_model import exceptions
 from waxwinglever_model import identifiers
 from waxwinglever_ownership import configs
@@ -141,7 +142,9 @@
             membership.finish(state, request.point)
     if admission.cleared:
         crashes.report_cleared(site, work.fingerprint)
-    return exchange.Reply(answer.status, answer.headers, answer.body)
+    # Only the daemon may state an outcome.
+    headers = wire.end_to_end(answer.headers)
+    return exchange.Reply(answer.status, headers, answer.body)
 
 
 def check_not_leaving(site: sites.Site) -> None:
@@ -151,7 +154,8 @@
       Draining: The node, or its zone, takes no new work.
     """
     is_out = site.me.zone in configs.zones_out(site.book, site.node.tenant)
-    if is_out or site.closing:
+    # The node drains, too, while its backend server is absent or leaving.
+    if is_out or site.closing or site.node.state.draining:
         raise exceptions.Draining(
             f"node {site.me.node} takes no new work",
             "send the request to another daemon",
--- a/packages/ownership/src/waxwinglever_ownership/membership.py
+++ b/packages/ownership/src/waxwinglever_ownership/membership.py
@@ -117,7 +117,8 @@
             state.record = heartbeat.record
             state.version = heartbeat.record_version
         drop_ended(state, now)
-        if state.version == heartbeat.record_version:
+        is_known = state.record is not None
+        if is_known and state.version == heartbeat.record_version:
             apply_grants(state, heartbeat, now)
         hand_back(state, now)
         state.send_times[heartbeat.sequence] = now
@@ -129,7 +130,9 @@
 
 def is_current(state: MemberState, heartbeat: messages.Heartbeat) -> bool:
     """Returns whether the heartbeat is above the last accepted one."""
-    if heartbeat.cell != state.cell or heartbeat.term < state.term:
+    if (heartbeat.cell, heartbeat.member) != (state.cell, state.node):
+        return False
+    if heartbeat.term < state.term:
         return False
     if heartbeat.term > state.term:
         return True
--- a/packages/ownership/src/waxwinglever_ownership/node.py
+++ b/packages/ownership/src/waxwinglever_ownership/node.py
@@ -185,8 +185,9 @@
                 node.state.term,
             )
         case messages.TransferLeadership():
-            if message.cell == node.state.cell:
-                with node.state.lock:
+            with node.state.lock:
+                is_current = message.term >= node.state.term
+                if is_mine(node, message.cell) and is_current:
                     node.stand_now = True
                     node.state.lock.notify_all()
             return messages.Accepted()
@@ -208,7 +209,18 @@
 def handle_heartbeat(
     node: CellNode, heartbeat: messages.Heartbeat
 ) -> messages.HeartbeatAck:
-    """Applies a heartbeat, with what it carries, and acknowledges it."""
+    """Applies a heartbeat, with what it carries, and acknowledges it.
+
+    Raises:
+      InvalidInput: The heartbeat is for another node or cell.
+    """
+    if (heartbeat.cell, heartbeat.member) != (node.state.cell, node.me.node):
+        raise exceptions.InvalidInput(
+            f"the heartbeat is for node {heartbeat.member!r} of cell"
+            f" {heartbeat.cell!r}, and node {node.me.node!r} of"
+            f" {node.state.cell!r} has this address now",
+            "wait until the record drops the replaced node",
+        )
     for update in heartbeat.configs:
         accept_config(node, update.tenant, update.value)
     if heartbeat.directory is not None:
@@ -250,6 +262,7 @@
                 leader.leaving.add(request.member.node)
             is_done = recorded is None
         else:
+            leader.leaving.discard(request.member.node)
             is_done = recorded == request.member
             if not is_done:
                 leader.joins[request.member.node] = request.member
@@ -565,11 +578,11 @@
     leader: leadership.LeaderState,
     peers: dict[str, threading.Thread],
 ) -> None:
-    """Starts the thread of each member that has none."""
+    """Starts the thread of each member that has none that runs."""
     with leader.lock:
         members = {member.node: member for member in leader.record.members}
     for name, thread in list(peers.items()):
-        if name not in members and not thread.is_alive():
+        if not thread.is_alive():
             del peers[name]
     for name in members:
         if name not in peers:
