Bound the threads that wait for one daemon, one slice or the gate

Cause, by reading: a daemon served 64 connections, while up to 200 requests could wait for a handover, 200 at the gate and any number for a frozen daemon. With all threads waiting it can't take the announcement of its own backend server, which then counts as absent, and hands its slices back. Ruled out: more threads alone, as any number can be made to wait.

Now 128 threads by default, with shares for each kind of waiting, so that some are always left. A forwarded reply without the daemon's headers is unknown: http.client takes a cut header block for a whole one. The test of the settings' defaults names the new default.

--- a/packages/daemon/src/waxwinglever_daemon/assembly.py
+++ b/packages/daemon/src/waxwinglever_daemon/assembly.py
@@ -28,7 +28,13 @@
 from waxwinglever_telemetry import logs
 from waxwinglever_telemetry import metrics
 
-QUEUE_LIMIT = 200
+# Shares of the daemon's threads that may wait at the gate, for a slice under
+# handover, for all other daemons, and for one of them. The rest runs requests
+# and answers announcements, whatever waits.
+QUEUE_SHARE = 0.25
+HELD_SHARE = 0.18
+FORWARD_SHARE = 0.36
+FORWARD_EACH_SHARE = 0.12
 WATCH_INTERVAL_S = 0.25
 # Until a configuration names the service, a new server gets this little.
 DEFAULT_COLD_SLOTS = 2
@@ -66,6 +72,11 @@
     """
     cuts = faults.Cuts()
     traffic = links.Traffic()
+    threads = settings.http_threads
+    places = forward.Places(
+        most=int(threads * FORWARD_SHARE),
+        most_each=int(threads * FORWARD_EACH_SHARE),
+    )
     host = settings.http_address.rpartition(":")[0]
     log = logs.logger()
     site = sites.Site(
@@ -79,10 +90,12 @@
         book=configs.ConfigBook(),
         lines=directory.Directory(),
         peers=faults.cut_calls(links.pynng_calls(traffic), cuts),
-        forward=faults.cut_forward(forward.http_forward(host), cuts),
+        forward=faults.cut_forward(forward.http_forward(host, places), cuts),
         metrics=metrics.Metrics(),
         log=log.info,
         traffic=traffic,
+        held=threading.BoundedSemaphore(int(threads * HELD_SHARE)),
+        queue_limit=int(threads * QUEUE_SHARE),
     )
     daemon = Daemon(
         settings=settings,
@@ -230,17 +243,18 @@
     Until a configuration names the service, the default cold start applies.
     """
     service = configs.service_of(site.book, node.tenant, node.service)
+    queue_limit = site.queue_limit
     if service is None:
         return gate.Policy(
             slots=slots,
-            queue_limit=QUEUE_LIMIT,
+            queue_limit=queue_limit,
             cold_start_slots=min(DEFAULT_COLD_SLOTS, slots),
             cold_start_s=DEFAULT_COLD_S,
         )
     slots = min(slots, service.slots)
     return gate.Policy(
         slots=slots,
-        queue_limit=QUEUE_LIMIT,
+        queue_limit=queue_limit,
         cold_start_slots=min(service.cold_start.initial_slots, slots),
         cold_start_s=service.cold_start.seconds,
         weights={item.name: item.weight for item in service.classes},
--- a/packages/daemon/src/waxwinglever_daemon/settings.py
+++ b/packages/daemon/src/waxwinglever_daemon/settings.py
@@ -49,8 +49,8 @@
     peer_address: str = attrs.field(validator=is_address)
     store_address: str = attrs.field(validator=is_address)
     http_threads: int = attrs.field(
-        default=64,
-        validator=[attrs.validators.ge(4), attrs.validators.le(1024)],
+        default=128,
+        validator=[attrs.validators.ge(16), attrs.validators.le(1024)],
     )
     drain_timeout_s: float = attrs.field(
         default=10.0,
--- a/packages/daemon/tests/test_settings.py
+++ b/packages/daemon/tests/test_settings.py
@@ -42,7 +42,7 @@
     def test_good_settings_are_read(self):
         got = settings.parse(json.dumps({**GOOD, "drain_timeout_s": 3}))
         self.assertEqual(
-            {**GOOD, "drain_timeout_s": 3.0, "http_threads": 64},
+            {**GOOD, "drain_timeout_s": 3.0, "http_threads": 128},
             {
                 name: value
                 for name, value in attrs.asdict(got).items()
--- a/packages/front/src/waxwinglever_front/forward.py
+++ b/packages/front/src/waxwinglever_front/forward.py
@@ -1,7 +1,12 @@
 """Sends a request to the daemon that owns its key."""
 
+import contextlib
+import threading
+from collections import Counter
 from collections.abc import Callable
+from collections.abc import Iterator
 
+import attrs
 import urllib3
 
 from waxwinglever_front import exchange
@@ -16,13 +21,60 @@
 DAEMONS = 256
 
 
+@attrs.define(eq=False)
+class Places:
+    """Bounds the requests that wait for other daemons.
+
+    Without them the threads of this daemon would all wait for one daemon that
+    is frozen, and its own backend server could not even announce itself.
+
+    Attributes:
+      most: Requests that may wait in all.
+      most_each: Requests that may wait for one daemon.
+      waiting: Requests that wait, by address.
+      lock: Guards `waiting`.
+    """
+
+    most: int
+    most_each: int
+    waiting: Counter[str] = attrs.Factory(Counter)
+    lock: threading.Lock = attrs.Factory(threading.Lock)
+
+
+@contextlib.contextmanager
+def place(places: Places, address: str) -> Iterator[None]:
+    """Holds a place while a request waits for the daemon at an address.
+
+    Raises:
+      Overloaded: All places, or those for this daemon, are taken.
+    """
+    with places.lock:
+        is_full = places.waiting.total() >= places.most
+        if is_full or places.waiting[address] >= places.most_each:
+            raise exceptions.Overloaded(
+                f"too many requests wait for other daemons, {address} among"
+                " them",
+                "send the request again later, or to its owner",
+                retry_after_ms=500,
+            )
+        places.waiting[address] += 1
+    try:
+        yield
+    finally:
+        with places.lock:
+            places.waiting[address] -= 1
+            if not places.waiting[address]:
+                del places.waiting[address]
+
+
 def http_forward(
-    source_address: str,
+    source_address: str, places: Places
 ) -> Callable[[str, exchange.Request], exchange.Reply]:
     """Returns a function that sends a request to another daemon.
 
     Args:
       source_address: Local IP to connect from.
+      places: Bounds the requests that wait.
     """
     pools = urllib3.PoolManager(
         num_pools=DAEMONS,
@@ -51,15 +103,16 @@
         try:
             # PoolManager.request would resolve dot segments in the path.
             pool = pools.connection_from_host(host.strip("[]"), int(port))
-            response = pool.request(
-                request.method,
-                target,
-                headers=headers,
-                body=request.body or None,
-                timeout=timeout,
-                redirect=False,
-                decode_content=False,
-            )
+            with place(places, address):
+                response = pool.request(
+                    request.method,
+                    target,
+                    headers=headers,
+                    body=request.body or None,
+                    timeout=timeout,
+                    redirect=False,
+                    decode_content=False,
+                )
         except (
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
@@ -74,8 +127,23 @@
                 f"the daemon at {address} did not answer: {error}",
                 "check whether the request took effect before sending it again",
             ) from error
+        if not is_whole(response):
+            raise exceptions.OutcomeUnknown(
+                f"the reply of the daemon at {address} was cut",
+                "check whether the request took effect before sending it again",
+            )
         return wire.parse_reply(
             response.status, list(response.headers.items()), response.data
         )
 
     return forward
+
+
+def is_whole(response: urllib3.BaseHTTPResponse) -> bool:
+    """Returns whether all headers of a daemon's reply arrived.
+
+    http.client takes the end of the connection for the end of the headers; a
+    reply that is cut there would pass for one with a shorter body.
+    """
+    names = (wire.OUTCOME, wire.OWNER, wire.MAP_VERSION, "Content-Length")
+    return all(name in response.headers for name in names)
--- a/packages/front/src/waxwinglever_front/site.py
+++ b/packages/front/src/waxwinglever_front/site.py
@@ -26,10 +26,11 @@
 RETRY_BURST = 10
 HEDGE_RATIO = 0.05
 HEDGE_BURST = 5
+# Requests that wait for a slice under handover, unless the daemon sets another
+# bound from its number of threads.
+DEFAULT_HELD = 24
 # Timeouts in a row after which the backend server counts as frozen.
 FROZEN_AFTER_TIMEOUTS = 3
-# Requests of one daemon that wait for a slice under handover.
-MAX_HELD = 200
 HEDGE_THREADS = 16
 
 
@@ -82,6 +83,7 @@
       hedgers: Threads that run hedged tries.
       heat: Request rates and frequent keys of this node's slices.
       held: Places for requests that wait for a slice under handover.
+      queue_limit: Requests that may wait at the gate.
       closing: Whether the daemon takes no new work for its backend server.
       stopping: Set when the daemon's threads must end.
       lock: Guards node, local and balancers.
@@ -111,8 +113,9 @@
     )
     heat: hotkeys.HotKeys = attrs.Factory(hotkeys.HotKeys)
     held: threading.BoundedSemaphore = attrs.Factory(
-        lambda: threading.BoundedSemaphore(MAX_HELD)
+        lambda: threading.BoundedSemaphore(DEFAULT_HELD)
     )
+    queue_limit: int = 32
     closing: bool = False
     stopping: threading.Event = attrs.Factory(threading.Event)
     lock: threading.Lock = attrs.Factory(threading.Lock)
--- a/packages/front/tests/test_forward.py
+++ b/packages/front/tests/test_forward.py
@@ -23,8 +23,14 @@
             self.close_connection = True
             return
         body = self.path.encode()
+        if self.path.endswith("/cut"):
+            self.wfile.write(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n")
+            self.close_connection = True
+            return
         self.send_response(200)
         self.send_header(wire.OUTCOME, "ran")
+        self.send_header(wire.OWNER, "")
+        self.send_header(wire.MAP_VERSION, "1")
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
         self.wfile.write(body)
@@ -44,7 +50,8 @@
         self.addCleanup(server.server_close)
         self.addCleanup(server.shutdown)
         self.address = f"{HOST}:{server.server_port}"
-        self.call = forward.http_forward(HOST)
+        self.places = forward.Places(most=4, most_each=2)
+        self.call = forward.http_forward(HOST, self.places)
 
     def send(self, path, address=None, **changes):
         request = self.make_front().request("GET", path=path, **changes)
@@ -68,3 +75,23 @@
             "/x",
             deadline_s=clock.boottime_s(),
         )
+
+    def test_a_reply_with_cut_headers_is_unknown(self):
+        self.assertRaises(exceptions.OutcomeUnknown, self.send, "/cut")
+
+    def test_one_daemon_can_not_take_all_places(self):
+        with forward.place(self.places, "a"), forward.place(self.places, "a"):
+            self.assertRaises(
+                exceptions.Overloaded,
+                forward.place(self.places, "a").__enter__,
+            )
+            with forward.place(self.places, "b"):
+                pass
+        self.assertEqual(0, self.places.waiting.total())
+
+    def test_all_places_are_bounded(self):
+        places = forward.Places(most=1, most_each=1)
+        with forward.place(places, "a"):
+            self.assertRaises(
+                exceptions.Overloaded, forward.place(places, "b").__enter__
+            )
