Survive an unexpected error while a message is handled

Cause: the thread that answers other daemons expects typed errors only; any other one ended it, and the daemon lost its leases while it went on to serve callers. Ruled out: catching it in the links (they know no log). Change: the daemon logs the error and answers with a refusal. Before: test_an_unexpected_error_is_answered_as_a_refusal failed with KeyError; after: passes.

--- a/packages/daemon/src/waxwinglever_daemon/assembly.py
+++ b/packages/daemon/src/waxwinglever_daemon/assembly.py
@@ -103,14 +103,29 @@
 
 
 def handle(daemon: Daemon, message: messages.Message) -> messages.Message:
-    """Returns the answer to a message of another daemon."""
+    """Returns the answer to a message of another daemon.
+
+    Raises:
+      InvalidInput: The message can't be handled.
+    """
     node = daemon.site.node
     if node is None:
         raise exceptions.InvalidInput(
             f"node {daemon.settings.node} is in no cell yet",
             "wait until its backend server has announced itself",
         )
-    return ownership_node.handle(node, message)
+    try:
+        return ownership_node.handle(node, message)
+    except exceptions.WaxwingleverError:
+        raise
+    except Exception as error:  # pylint: disable=broad-exception-caught
+        # An error that left this function would end the only thread that
+        # answers other daemons.
+        daemon.site.log("message-failed", error=repr(error))
+        raise exceptions.InvalidInput(
+            f"{type(message).__name__} failed: {type(error).__name__}",
+            "report the log line message-failed of this daemon",
+        ) from error
 
 
 def take_announcement(
--- a/packages/daemon/tests/test_assembly.py
+++ b/packages/daemon/tests/test_assembly.py
@@ -47,6 +47,16 @@
             messages.MapRequest("t/s/0"),
         )
 
+    def test_an_unexpected_error_is_answered_as_a_refusal(self):
+        self.announce()
+        message = messages.MapRequest("t/s/0")
+        with mock.patch.object(
+            ownership_node, "handle", side_effect=KeyError("k")
+        ):
+            self.assertRaises(
+                exceptions.InvalidInput, assembly.handle, self.daemon, message
+            )
+
     def test_an_announcement_of_another_service_is_refused(self):
         self.announce()
         node = self.site.node
