--- a/packages/bench/src/waxwinglever_bench/main.py
+++ b/packages/bench/src/waxwinglever_bench/main.py
@@ -6,6 +6,7 @@
 import click
 
 from waxwinglever_bench import demo as demos
+from waxwinglever_bench import explore_command
 
 BUILD = pathlib.Path("build")
 
@@ -22,5 +23,8 @@
     sys.exit(0 if demos.run(BUILD / "demo", seed) else 1)
 
 
+main.add_command(explore_command.explore)
+
+
 if __name__ == "__main__":
     main()
