Add the soak: a fleet under a seeded schedule of faults

Kills, freezes, cuts, store faults, racing operators, drains and crashing requests hit a fleet of real processes, alone and together, while callers send requests with and without ids. The invariants are checked on the logs of all daemons and backend servers at the end; figures go to build/soak-SEED.json.

--- a/packages/bench/src/waxwinglever_bench/audit.py
+++ b/packages/bench/src/waxwinglever_bench/audit.py
@@ -171,8 +171,7 @@
         (
             other.ended_s
             for other in closed
-            if other.first > lease.last
-            and other.first <= last
+            if lease.last < other.first <= last
             and lease.began_s <= other.ended_s <= lease.ended_s
         ),
         default=lease.began_s,
--- a/packages/bench/src/waxwinglever_bench/main.py
+++ b/packages/bench/src/waxwinglever_bench/main.py
@@ -7,6 +7,7 @@
 
 from waxwinglever_bench import demo as demos
 from waxwinglever_bench import explore_command
+from waxwinglever_bench import soak
 
 BUILD = pathlib.Path("build")
 
@@ -24,6 +25,7 @@
 
 
 main.add_command(explore_command.explore)
+main.add_command(soak.soak)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/packages/bench/src/waxwinglever_bench/soak.py
@@ -0,0 +1,466 @@
+"""Runs a fleet under a seeded schedule of faults and checks the guarantees.
+
+At most a minority of a cell's VMs is down by kills and drains at one time; a
+kill beyond that is passed over. All other faults coincide as the schedule has
+it. A crashing request comes on top: it hits the owner of its key.
+"""
+
+import collections
+import json
+import pathlib
+import threading
+
+import attrs
+import click
+
+from waxwinglever_bench import audit
+from waxwinglever_bench import fleet as fleets
+from waxwinglever_bench import injection
+from waxwinglever_bench import schedule
+from waxwinglever_bench import traffic as traffics
+from waxwinglever_bench import watching
+from waxwinglever_model import clock
+
+TENANT = "tulpar"
+REGION = "kz-south"
+ZONES = ("almaty-a", "almaty-b", "shymkent")
+KEYED = "dispatch"
+UNKEYED = "workshop"
+SIZES = {KEYED: 6, UNKEYED: 3}
+READERS = 3
+WRITERS = 6
+ONCE_SENDERS = 2
+PROBERS = 4
+CONFIG_BOUND_S = 7.0
+RECOVERY_BOUND_S = 10.0
+# A run that is not served within the bound goes on to show how long it takes.
+RECOVERY_WAIT_S = 30.0
+# Faults on a daemon may still be felt for an election and a new connection.
+SETTLE_S = 4.0
+MAX_EVIDENCE = 10
+
+
+@attrs.define(eq=False)
+class Report:
+    """What a run showed.
+
+    Attributes:
+      figures: Counts and measured values.
+      evidence: What broke, by invariant.
+    """
+
+    figures: dict = attrs.Factory(dict)
+    evidence: dict[str, list[str]] = attrs.Factory(
+        lambda: collections.defaultdict(list)
+    )
+
+
+def run(folder: pathlib.Path, seed: int, minutes: float, network: int) -> bool:
+    """Runs the soak and returns whether all invariants held.
+
+    Args:
+      folder: For settings and logs of the processes; earlier logs go.
+      seed: Seed of the schedule.
+      minutes: Length of the schedule.
+      network: Second byte of the VMs' loopback addresses; runs at one time
+        need different ones.
+    """
+    for old in folder.glob("*"):
+        old.unlink()
+    vms = fleets.make_vms(TENANT, ZONES, SIZES, network)
+    store_host = f"127.90.{network}.1"
+    report = Report()
+    with fleets.running(folder, vms, store_host=store_host) as fleet:
+        ground = injection.Ground(fleet)
+        start(ground)
+        watch = watching.new_watch(ground)
+        traffic = traffics.Traffic(ground, TENANT, KEYED, UNKEYED)
+        threads = start_threads(watch, traffic, seed)
+        try:
+            inject(watch, traffic, seed, minutes * 60)
+            check_recovery(watch, traffic, report)
+        finally:
+            ground.stopping.set()
+            for thread in threads:
+                thread.join()
+        for node in fleet.vms:
+            watching.collect_last(watch, node)
+        horizon_s = clock.boottime_s()
+    check(folder, watch, traffic, report, horizon_s)
+    show(folder, report)
+    return not any(report.evidence.values())
+
+
+def start(ground: injection.Ground) -> None:
+    """Starts all VMs and applies the configuration."""
+    fleet = ground.fleet
+    document = fleets.make_document(TENANT, REGION, ZONES, [KEYED], [UNKEYED])
+    fleets.apply_document(fleet, document)
+    ground.written[1] = clock.boottime_s()
+    for node in fleet.vms:
+        injection.start_daemon(ground, node)
+        injection.start_backend(ground, node)
+    fleets.wait_ready(fleet, fleet.vms)
+    fleets.wait_for(lambda: is_leased(fleet), "slices")
+
+
+def is_leased(fleet: fleets.Fleet) -> bool:
+    """Returns whether all slices are leased."""
+    cells = [
+        fleets.status(fleet, name).get("cell") or {}
+        for name, vm in fleet.vms.items()
+        if vm.service == KEYED
+    ]
+    slices = max(cell.get("slices", 0) for cell in cells)
+    return 0 < slices == sum(cell.get("owned", 0) for cell in cells)
+
+
+def start_threads(
+    watch: watching.Watch, traffic: traffics.Traffic, seed: int
+) -> list[threading.Thread]:
+    """Starts the callers, the watchers and the thread that sets cuts."""
+    probed = [f"key-{n}" for n in range(traffics.PROBE_KEYS)]
+    plans = [
+        (injection.run_cuts, (watch.ground,)),
+        *((watching.run_vm, (watch, node)) for node in watch.vms),
+        *(
+            (traffics.run_reader, (traffic, f"r{seed}-{n}"))
+            for n in range(READERS)
+        ),
+        *(
+            (traffics.run_writer, (traffic, f"w{seed}-{n}"))
+            for n in range(WRITERS)
+        ),
+        *(
+            (traffics.run_once_sender, (traffic, f"o{seed}-{n}"))
+            for n in range(ONCE_SENDERS)
+        ),
+        *(
+            (traffics.run_prober, (traffic, probed[n::PROBERS], f"p{seed}-{n}"))
+            for n in range(PROBERS)
+        ),
+    ]
+    threads = [threading.Thread(target=t, args=a) for t, a in plans]
+    for thread in threads:
+        thread.start()
+    return threads
+
+
+def inject(
+    watch: watching.Watch,
+    traffic: traffics.Traffic,
+    seed: int,
+    seconds: float,
+) -> None:
+    """Injects the faults of the schedule, each in a thread of its own."""
+    ground = watch.ground
+    began_s = clock.boottime_s()
+    threads = []
+    for fault in schedule.make_schedule(seed, seconds, list(watch.vms)):
+        wait_s = began_s + fault.at_s - clock.boottime_s()
+        ground.stopping.wait(max(0.0, wait_s))
+        ground.counts[fault.kind] += 1
+        thread = threading.Thread(
+            target=guard, args=(watch, traffic, fault), name=fault.kind
+        )
+        threads.append(thread)
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+def guard(
+    watch: watching.Watch, traffic: traffics.Traffic, fault: schedule.Fault
+) -> None:
+    """Injects one fault; an error of the harness fails the run."""
+    try:
+        inject_one(watch, traffic, fault)
+    except Exception as error:  # pylint: disable=broad-exception-caught
+        watch.ground.failures.append(f"harness: {fault}: {error!r}")
+
+
+def inject_one(
+    watch: watching.Watch, traffic: traffics.Traffic, fault: schedule.Fault
+) -> None:
+    """Injects one fault and returns when it has ended."""
+    ground = watch.ground
+    match fault.kind:
+        case schedule.KILL_DAEMON | schedule.KILL_BACKEND | schedule.KILL_VM:
+            injection.kill_and_restart(
+                ground, fault, lambda node: watching.collect_last(watch, node)
+            )
+        case schedule.FREEZE_DAEMON:
+            name = injection.DAEMON + fault.node
+            injection.freeze(ground, name, fault.length_s)
+        case schedule.FREEZE_BACKEND:
+            name = injection.BACKEND + fault.node
+            injection.freeze(ground, name, fault.length_s)
+        case schedule.CUT_PAIR | schedule.CUT_ONE_SIDE | schedule.ISOLATE:
+            injection.cut(ground, fault)
+        case schedule.RACE:
+            injection.race(ground, fault)
+        case schedule.APPLY:
+            injection.operate(ground, "zone", "out", ZONES[0])
+            injection.take_zones_in(ground)
+        case schedule.DRAIN | schedule.DRAIN_IN_CALM:
+            traffics.drain_under_load(traffic, fault.node, fault.length_s)
+        case schedule.CRASH:
+            key = f"key-{int(fault.value * traffics.KEYS)}"
+            traffics.send_crashing(traffic, key, fault.number)
+        case _:
+            injection.disturb_store(ground, fault)
+
+
+def check_recovery(
+    watch: watching.Watch, traffic: traffics.Traffic, report: Report
+) -> None:
+    """Measures until all keys are served and all slices leased (7)."""
+    ground = watch.ground
+    fleet = ground.fleet
+    injection.take_zones_in(ground)
+    began_s = clock.boottime_s()
+    entries = [vm.http_address for vm in fleet.vms.values()]
+    unserved = [f"key-{n}" for n in range(traffics.KEYS)]
+
+    def is_served() -> bool:
+        unserved[:] = [
+            key
+            for number, key in enumerate(unserved)
+            if not traffics.probe(traffic, entries[number % len(entries)], key)
+        ]
+        return not unserved
+
+    try:
+        fleets.wait_for(is_served, "keys", RECOVERY_WAIT_S)
+        served_s = clock.boottime_s() - began_s
+        fleets.wait_for(lambda: is_leased(fleet), "slices", RECOVERY_WAIT_S)
+        leased_s = clock.boottime_s() - began_s
+    except TimeoutError as error:
+        report.evidence["recovery"].append(f"{error}; unserved: {unserved}")
+        return
+    report.figures["recovery"] = {
+        "served_s": round(served_s, 2),
+        "leased_s": round(leased_s, 2),
+    }
+    if leased_s > RECOVERY_BOUND_S:
+        report.evidence["recovery"].append(
+            f"took {leased_s:.1f} s, the bound is {RECOVERY_BOUND_S} s"
+        )
+
+
+# The checks at the end.
+
+
+def read_lines(path: pathlib.Path) -> list[dict]:
+    """Returns the JSON lines of a log; others are tracebacks of a start."""
+    lines = []
+    for text in path.read_text("utf-8", "replace").splitlines():
+        try:
+            line = json.loads(text)
+        except ValueError:
+            continue
+        if isinstance(line, dict):
+            lines.append(line)
+    return lines
+
+
+def check(
+    folder: pathlib.Path,
+    watch: watching.Watch,
+    traffic: traffics.Traffic,
+    report: Report,
+    horizon_s: float,
+) -> None:
+    """Checks the invariants on all that was collected."""
+    ground = watch.ground
+    check_leases(folder, ground, report, horizon_s)
+    check_executions(watch, traffic, report)
+    check_generations(watch, report)
+    check_drains(traffic, report)
+    report.evidence["replies"] += traffic.wrong
+    report.evidence["processes"] += ground.failures
+    report.figures |= {
+        "faults": dict(sorted(ground.counts.items())),
+        "replies": dict(sorted(traffic.outcomes.items())),
+        "requests_with_id": dict(sorted(traffic.ends.items())),
+        "unavailable_key_s": round(
+            sum(s.ended_s - s.began_s for s in traffic.outages), 1
+        ),
+        "longest_outage_s": round(
+            max((s.ended_s - s.began_s for s in traffic.outages), default=0), 1
+        ),
+        "probed_keys": traffics.PROBE_KEYS,
+        "lost_log_s": round(sum(each.lost_s for each in watch.vms.values()), 1),
+    }
+
+
+def check_leases(
+    folder: pathlib.Path,
+    ground: injection.Ground,
+    report: Report,
+    horizon_s: float,
+) -> None:
+    """Checks that no two nodes held leases on one point (1)."""
+    intervals = []
+    terms = 0
+    for node in ground.fleet.vms:
+        lines = read_lines(folder / f"daemon-{node}.log")
+        for line in lines:
+            terms += line.get("event") == "leader-began"
+            if line.get("event") == "thread-failed":
+                report.evidence["processes"].append(json.dumps(line))
+        intervals += audit.held_intervals(
+            node, lines, ground.life_ends[node], horizon_s
+        )
+    report.figures["leases"] = len(intervals)
+    report.figures["terms"] = terms
+    report.evidence["leases"] += map(str, audit.lease_overlaps(intervals))
+
+
+def check_executions(
+    watch: watching.Watch, traffic: traffics.Traffic, report: Report
+) -> None:
+    """Checks the execution logs (2) and the refusals (3)."""
+    executions = watching.executions(watch)
+    report.figures["executions"] = len(executions)
+    report.figures["refused_requests"] = len(traffic.refused)
+    freezes = watch.ground.freezes
+    report.evidence["at most once"] += map(str, audit.run_twice(executions))
+    report.evidence["one server for a key"] += map(
+        str, audit.key_overlaps(executions, freezes)
+    )
+    report.evidence["epochs"] += map(str, audit.epoch_regressions(executions))
+    report.evidence["not-run is true"] += map(
+        str, audit.false_refusals(traffic.refused, executions)
+    )
+
+
+def check_generations(watch: watching.Watch, report: Report) -> None:
+    """Checks that configurations spread in time and never go back (5)."""
+    ground = watch.ground
+    samples = watching.samples(watch)
+    started = {
+        node: ground.started[injection.DAEMON + node] for node in watch.vms
+    }
+    report.figures["generations"] = len(ground.written)
+    report.figures["samples"] = len(samples)
+    report.evidence["generations"] += map(
+        str, audit.generation_regressions(samples)
+    )
+    late = audit.late_generations(
+        ground.written, samples, ground.disturbances, started, CONFIG_BOUND_S
+    )
+    report.evidence["config in force"] += map(str, late)
+    report.figures["generations_judged"] = sum(
+        audit.calm_since(at_s, ground.disturbances, CONFIG_BOUND_S)
+        + CONFIG_BOUND_S
+        < max((s.at_s for s in samples), default=0.0)
+        for at_s in ground.written.values()
+    )
+
+
+def check_drains(traffic: traffics.Traffic, report: Report) -> None:
+    """Checks that SIGTERM cut no request (6).
+
+    Requests of a drain are judged when no other fault could have cut them.
+    """
+    ground = traffic.ground
+    judged = cut = passed_over = 0
+    for drained in traffic.drained:
+        own = injection.DAEMON + drained.node
+        others = [
+            span
+            for span in (
+                *ground.disturbances,
+                *ground.freezes,
+                *ground.backend_losses,
+            )
+            if span.name != own
+            and span.began_s < drained.ended_s
+            and span.ended_s + SETTLE_S > drained.began_s
+        ]
+        if others:
+            passed_over += drained.count
+            continue
+        judged += drained.count
+        cut += len(drained.cut)
+        report.evidence["shutdown"] += map(
+            f"{drained.node} at {drained.began_s:.3f}: {{}}".format, drained.cut
+        )
+    report.figures["shutdown"] = {
+        "requests_judged": judged,
+        "cut": cut,
+        "beside_other_faults": passed_over,
+    }
+
+
+# The report.
+
+
+def show(folder: pathlib.Path, report: Report) -> None:
+    """Prints one line for each invariant and writes the figures."""
+    figures = report.figures
+    lines = (
+        ("leases", f"{figures['leases']} leases, {figures['terms']} terms"),
+        ("at most once", f"{figures['executions']} executions"),
+        ("one server for a key", f"{figures['executions']} executions"),
+        ("epochs", f"{figures['executions']} executions"),
+        ("not-run is true", f"{figures['refused_requests']} refused requests"),
+        ("replies", str(figures["replies"])),
+        ("generations", f"{figures['samples']} samples"),
+        (
+            "config in force",
+            f"{figures['generations_judged']} of {figures['generations']}"
+            " generations judged",
+        ),
+        ("shutdown", str(figures["shutdown"])),
+        ("recovery", str(figures.get("recovery"))),
+        ("processes", "exit codes and threads"),
+    )
+    click.echo(f"faults: {figures['faults']}")
+    click.echo(f"requests with an id: {figures['requests_with_id']}")
+    click.echo(
+        f"unavailable: {figures['unavailable_key_s']} key-seconds of"
+        f" {figures['probed_keys']} keys, longest"
+        f" {figures['longest_outage_s']} s; execution logs lost:"
+        f" {figures['lost_log_s']} s"
+    )
+    for name, total in lines:
+        evidence = report.evidence[name]
+        verdict = f"FAILED {len(evidence)}" if evidence else "held"
+        click.echo(f"{name}: {verdict} ({total})")
+        for text in evidence[:MAX_EVIDENCE]:
+            click.echo(f"  {text}")
+    figures["violations"] = {k: len(v) for k, v in report.evidence.items()}
+    path = folder.parent / f"{folder.name}.json"
+    path.write_text(json.dumps(figures, indent=2), encoding="utf-8")
+
+
+@click.command()
+@click.option("--seed", default=1, show_default=True)
+@click.option(
+    "--minutes",
+    default=3.0,
+    show_default=True,
+    type=click.FloatRange(min=0.1, max=600),
+)
+@click.option(
+    "--network",
+    default=20,
+    show_default=True,
+    type=click.IntRange(1, 89),
+    help="Second byte of the loopback addresses; one for each run at a time.",
+)
+@click.option(
+    "--build", default="build", type=click.Path(path_type=pathlib.Path)
+)
+@click.pass_context
+def soak(
+    ctx: click.Context,
+    seed: int,
+    minutes: float,
+    network: int,
+    build: pathlib.Path,
+) -> None:
+    """Runs a fleet under faults; exits 1 when a guarantee broke."""
+    ctx.exit(0 if run(build / f"soak-{seed}", seed, minutes, network) else 1)
