--- /dev/null
+++ b/packages/bench/tests/test_traffic.py
@@ -0,0 +1,72 @@
+"""Tests of waxwinglever_bench.traffic."""
+
+import concurrent.futures
+import pathlib
+import random
+from unittest import mock
+
+import testtools
+
+from waxwinglever_bench import callers
+from waxwinglever_bench import fleet as fleets
+from waxwinglever_bench import injection
+from waxwinglever_bench import traffic as traffics
+
+CALL = callers.Call("POST", "t", "keyed", "/claims/1", "k", b"x")
+RAN = callers.Outcome(200, "ran", is_right=True)
+NO_REPLY = callers.Outcome(0, "none")
+BUSY = callers.Outcome(503, "not-run", "overloaded")
+
+
+def ticket(name):
+    kind = traffics.TICKET_REQUIRED
+    return callers.Outcome(428, "not-run", kind, ticket=name)
+
+
+class WriteTest(testtools.TestCase):
+    """Guards against a caller that breaks the rules of section 10 itself."""
+
+    def setUp(self):
+        super().setUp()
+        self.sent = []
+
+    def write(self, *outcomes):
+        """Returns the end of a request that gets the given replies."""
+        vms = fleets.make_vms("t", ["a"], {"keyed": 3}, 1)
+        fleet = fleets.Fleet(pathlib.Path(), {vm.name: vm for vm in vms})
+        traffic = traffics.Traffic(
+            injection.Ground(fleet), "t", "keyed", "other"
+        )
+        replies = iter(outcomes)
+
+        def send(pool, address, call, timeout_s):
+            del pool, address, timeout_s
+            headers = dict(call.headers)
+            self.sent.append(headers.get("Waxwinglever-Ticket"))
+            return next(replies, BUSY)
+
+        with (
+            mock.patch.object(callers, "send", send),
+            mock.patch.object(traffics, "DOUBT_SHARE", 0.0),
+            concurrent.futures.ThreadPoolExecutor(1) as executor,
+        ):
+            return traffics.write(traffic, random.Random(1), executor, CALL)
+
+    def test_all_tries_carry_the_first_ticket(self):
+        end = self.write(ticket("a"), NO_REPLY, BUSY, RAN)
+        self.assertEqual("ran", end)
+        self.assertEqual([None, "a", "a", "a"], self.sent)
+
+    def test_no_new_ticket_while_a_try_is_in_doubt(self):
+        end = self.write(ticket("a"), NO_REPLY, ticket("b"))
+        self.assertEqual("unknown", end)
+        self.assertEqual([None, "a", "a"], self.sent)
+
+    def test_a_new_ticket_when_each_try_was_refused(self):
+        end = self.write(ticket("a"), BUSY, ticket("b"), RAN)
+        self.assertEqual("ran", end)
+        self.assertEqual([None, "a", "a", "b"], self.sent)
+
+    def test_not_run_only_when_each_try_was_refused(self):
+        self.assertEqual("not-run", self.write(ticket("a"), BUSY))
+        self.assertEqual("unknown", self.write(ticket("a"), NO_REPLY))
