--- a/packages/bench/src/waxwinglever_bench/traffic.py
+++ b/packages/bench/src/waxwinglever_bench/traffic.py
@@ -23,6 +23,8 @@
 CRASH_PAUSE_S = 1.2
 DOUBT_SHARE = 0.2
 SLOW_SHARE = 0.1
+# Requests with an id that go to the service without keys.
+UNKEYED_SHARE = 0.25
 SLOW_MS = 250
 DRAIN_REQUESTS = 6
 DRAIN_HEAD_S = 0.1
@@ -144,7 +146,7 @@
 
 
 def run_writer(traffic: Traffic, seed: str) -> None:
-    """Sends requests with an id and a ticket until the run ends."""
+    """Sends requests with an id to both services until the run ends."""
     rng = random.Random(seed)
     number = 0
     with concurrent.futures.ThreadPoolExecutor(2) as executor:
@@ -154,12 +156,13 @@
             slow = ()
             if rng.random() < SLOW_SHARE:
                 slow = (("Standin-Service-Ms", str(SLOW_MS)),)
+            is_keyed = rng.random() > UNKEYED_SHARE
             call = callers.Call(
                 "POST",
                 traffic.tenant,
-                traffic.keyed,
+                traffic.keyed if is_keyed else traffic.unkeyed,
                 f"/claims/{request_id}",
-                f"key-{rng.randrange(KEYS)}",
+                f"key-{rng.randrange(KEYS)}" if is_keyed else None,
                 request_id.encode(),
                 (("Waxwinglever-Request-Id", request_id), *slow),
             )
