Close a lease of an ended life before later lines of its node

A lease of a killed daemon stayed open in the audit until its node began one with the same start and epoch, so that a split by a later life gave its parts an end after the kill.

--- a/packages/bench/src/waxwinglever_bench/audit.py
+++ b/packages/bench/src/waxwinglever_bench/audit.py
@@ -121,9 +121,12 @@
     held: dict[tuple[int, int], Interval] = {}
     closed: list[Interval] = []
 
+    def end_of(lease: Interval) -> float:
+        return ends[min(bisect.bisect(ends, lease.began_s), len(ends) - 1)]
+
     def close(ref: tuple[int, int], at_s: float | None = None) -> Interval:
         lease = held.pop(ref)
-        end_s = ends[min(bisect.bisect(ends, lease.began_s), len(ends) - 1)]
+        end_s = end_of(lease)
         lease.ended_s = end_s if at_s is None else min(end_s, at_s)
         closed.append(lease)
         return lease
@@ -133,6 +136,8 @@
             continue
         ref = (line["start"], line["epoch"])
         first, last, at_s = line["start"], line["last"], line["at_s"]
+        for other in [r for r in held if end_of(held[r]) < at_s]:
+            close(other)
         if line["event"] == BEGAN:
             if ref in held:
                 close(ref)
--- a/packages/bench/tests/test_audit.py
+++ b/packages/bench/tests/test_audit.py
@@ -87,6 +87,11 @@
         b = held("b", [began(5.0, epoch=2), ended(6.0, epoch=2)])
         self.assertEqual([], self.overlaps(a, b))
 
+    def test_a_later_life_does_not_split_a_lease_of_the_one_before(self):
+        a = held("a", [began(1.0), began(8.0, start=5, epoch=3)], ends=[3.0])
+        b = held("b", [began(5.0, epoch=2), ended(6.0, epoch=2)])
+        self.assertEqual([], self.overlaps(a, b))
+
     def test_a_part_that_was_split_off_may_move(self):
         a = held(
             "a",
