--- a/packages/bench/src/waxwinglever_bench/audit.py
+++ b/packages/bench/src/waxwinglever_bench/audit.py
@@ -136,7 +136,7 @@
             continue
         ref = (line["start"], line["epoch"])
         first, last, at_s = line["start"], line["last"], line["at_s"]
-        for other in [r for r in held if end_of(held[r]) < at_s]:
+        for other in [r for r, kept in held.items() if end_of(kept) < at_s]:
             close(other)
         if line["event"] == BEGAN:
             if ref in held:
--- a/packages/bench/src/waxwinglever_bench/soak.py
+++ b/packages/bench/src/waxwinglever_bench/soak.py
@@ -8,6 +8,8 @@
 import collections
 import json
 import pathlib
+import signal
+import sys
 import threading
 
 import attrs
@@ -38,6 +40,7 @@
 # Faults on a daemon may still be felt for an election and a new connection.
 SETTLE_S = 4.0
 MAX_EVIDENCE = 10
+EXIT_TERMINATED = 143
 
 
 @attrs.define(eq=False)
@@ -156,17 +159,23 @@
     ground = watch.ground
     began_s = clock.boottime_s()
     threads = []
-    for fault in schedule.make_schedule(seed, seconds, list(watch.vms)):
-        wait_s = began_s + fault.at_s - clock.boottime_s()
-        ground.stopping.wait(max(0.0, wait_s))
-        ground.counts[fault.kind] += 1
-        thread = threading.Thread(
-            target=guard, args=(watch, traffic, fault), name=fault.kind
-        )
-        threads.append(thread)
-        thread.start()
-    for thread in threads:
-        thread.join()
+    try:
+        for fault in schedule.make_schedule(seed, seconds, list(watch.vms)):
+            wait_s = began_s + fault.at_s - clock.boottime_s()
+            ground.stopping.wait(max(0.0, wait_s))
+            ground.counts[fault.kind] += 1
+            thread = threading.Thread(
+                target=guard, args=(watch, traffic, fault), name=fault.kind
+            )
+            threads.append(thread)
+            thread.start()
+    except BaseException:
+        ground.stopping.set()
+        raise
+    finally:
+        # A fault that goes on could start a process after the fleet has ended.
+        for thread in threads:
+            thread.join()
 
 
 def guard(
@@ -303,8 +312,11 @@
     """Checks that no two nodes held leases on one point (1)."""
     intervals = []
     terms = 0
-    for node in ground.fleet.vms:
-        lines = read_lines(folder / f"daemon-{node}.log")
+    logs = {
+        node: read_lines(folder / f"daemon-{node}.log")
+        for node in ground.fleet.vms
+    }
+    for node, lines in logs.items():
         for line in lines:
             terms += line.get("event") == "leader-began"
             if line.get("event") == "thread-failed":
@@ -314,7 +326,24 @@
         )
     report.figures["leases"] = len(intervals)
     report.figures["terms"] = terms
-    report.evidence["leases"] += map(str, audit.lease_overlaps(intervals))
+    report.evidence["leases"] += [
+        "\n    ".join(
+            [str(pair), *(t for i in pair for t in lines_of(logs, i))]
+        )
+        for pair in audit.lease_overlaps(intervals)
+    ]
+
+
+def lines_of(
+    logs: dict[str, list[dict]], interval: audit.Interval
+) -> list[str]:
+    """Returns the log lines that tell of a lease."""
+    return [
+        json.dumps(line)
+        for line in logs[interval.node]
+        if line.get("epoch") == interval.epoch
+        and line.get("event") in (audit.BEGAN, audit.ENDED)
+    ]
 
 
 def check_executions(
@@ -463,4 +492,6 @@
     build: pathlib.Path,
 ) -> None:
     """Runs a fleet under faults; exits 1 when a guarantee broke."""
+    # The fleet's processes have to end with this one.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_TERMINATED))
     ctx.exit(0 if run(build / f"soak-{seed}", seed, minutes, network) else 1)
