--- a/packages/bench/src/waxwinglever_bench/main.py
+++ b/packages/bench/src/waxwinglever_bench/main.py
@@ -6,7 +6,9 @@
 import click
 
 from waxwinglever_bench import demo as demos
+from waxwinglever_bench import explore_command
 from waxwinglever_bench import slopes as slopes_module
+from waxwinglever_bench import soak
 
 BUILD = pathlib.Path("build")
 
@@ -38,5 +40,9 @@
             )
 
 
+main.add_command(explore_command.explore)
+main.add_command(soak.soak)
+
+
 if __name__ == "__main__":
     main()
