--- a/packages/bench/src/waxwinglever_bench/main.py
+++ b/packages/bench/src/waxwinglever_bench/main.py
@@ -16,7 +16,12 @@
 
 
 @main.command()
-@click.option("--seed", default=1, show_default=True)
+@click.option(
+    "--seed",
+    default=1,
+    show_default=True,
+    help="Seed of the request bodies.",
+)
 def demo(seed: int) -> None:
     """Shows the whole path and exits 0 only if every answer was right."""
     sys.exit(0 if demos.run(BUILD / "demo", seed) else 1)
--- a/packages/daemon/src/waxwinglever_daemon/main.py
+++ b/packages/daemon/src/waxwinglever_daemon/main.py
@@ -33,9 +33,7 @@
     type=click.Path(dir_okay=False),
     help="JSON file with the daemon's settings.",
 )
-@click.option(
-    "--check", is_flag=True, help="Check the settings, print them and exit."
-)
+@click.option("--check", is_flag=True, help="Check the settings and exit.")
 def main(settings_path: str, check: bool) -> None:
     """Runs the daemon beside one backend server.
 
--- a/packages/daemon/src/waxwinglever_daemon/settings.py
+++ b/packages/daemon/src/waxwinglever_daemon/settings.py
@@ -47,7 +47,7 @@
       store_address: IP:port of the platform's store.
       http_threads: Connections that are served at once.
       drain_timeout_s: How long a drain may take, in seconds.
-      fault_injection: Whether tests may cut links by POST /faults.
+      fault_injection: Whether tests may cut links by PUT /faults/.
     """
 
     node: str = attrs.field(validator=is_name)
--- a/packages/standins/src/waxwinglever_standins/backend_main.py
+++ b/packages/standins/src/waxwinglever_standins/backend_main.py
@@ -17,16 +17,51 @@
 @click.command()
 @click.option("--listen", required=True, help="host:port to listen on.")
 @click.option("--daemon", help="host:port of the daemon to announce to.")
-@click.option("--tenant", required=True)
-@click.option("--service", required=True)
-@click.option("--slots", default=10, show_default=True)
-@click.option("--connections", default=100, show_default=True)
-@click.option("--service-ms", default=5.0, show_default=True)
-@click.option("--checks-fences/--no-checks-fences", default=True)
-@click.option("--cold-start-s", default=0.0, show_default=True)
-@click.option("--cold-slots", default=2, show_default=True)
-@click.option("--cold-crash/--no-cold-crash", default=False)
-@click.option("--seed", default=1, show_default=True)
+@click.option("--tenant", required=True, help="Tenant to announce.")
+@click.option("--service", required=True, help="Service to announce.")
+@click.option(
+    "--slots",
+    default=10,
+    show_default=True,
+    help="Orders that run at once; more are shed.",
+)
+@click.option(
+    "--connections",
+    default=100,
+    show_default=True,
+    help="Connections that are served at once.",
+)
+@click.option(
+    "--service-ms",
+    default=5.0,
+    show_default=True,
+    help="Time that an order takes, in milliseconds.",
+)
+@click.option(
+    "--checks-fences/--no-checks-fences",
+    default=True,
+    help="Whether to refuse fences of an earlier owner.",
+)
+@click.option(
+    "--cold-start-s",
+    default=0.0,
+    show_default=True,
+    help="Length of the cold start, in seconds.",
+)
+@click.option(
+    "--cold-slots",
+    default=2,
+    show_default=True,
+    help="Orders that may run at once during the cold start.",
+)
+@click.option(
+    "--cold-crash/--no-cold-crash",
+    default=False,
+    help="Whether more orders in a cold start crash the server.",
+)
+@click.option(
+    "--seed", default=1, show_default=True, help="Seed of the service times."
+)
 def main(
     listen: str,
     daemon: str | None,
--- a/packages/standins/src/waxwinglever_standins/store_main.py
+++ b/packages/standins/src/waxwinglever_standins/store_main.py
@@ -13,8 +13,18 @@
 
 @click.command()
 @click.option("--listen", required=True, help="host:port to listen on.")
-@click.option("--writes-per-s", default=500.0, show_default=True)
-@click.option("--reads-per-s", default=2000.0, show_default=True)
+@click.option(
+    "--writes-per-s",
+    default=500.0,
+    show_default=True,
+    help="Writes over this rate get status 429.",
+)
+@click.option(
+    "--reads-per-s",
+    default=2000.0,
+    show_default=True,
+    help="Reads over this rate get status 429.",
+)
 def main(listen: str, writes_per_s: float, reads_per_s: float) -> None:
     """Runs a stand-in for the platform's store until SIGTERM."""
     store = store_state.new_store(writes_per_s, reads_per_s)
