--- a/packages/daemon/src/waxwinglever_daemon/assembly.py
+++ b/packages/daemon/src/waxwinglever_daemon/assembly.py
@@ -19,6 +19,8 @@
 from waxwinglever_model import identifiers
 from waxwinglever_ownership import configs
 from waxwinglever_ownership import directory
+from waxwinglever_ownership import handlers
+from waxwinglever_ownership import lifecycle
 from waxwinglever_ownership import node as ownership_node
 from waxwinglever_peers import links
 from waxwinglever_peers import messages
@@ -131,7 +133,7 @@
             "wait until its backend server has announced itself",
         )
     try:
-        return ownership_node.handle(node, message)
+        return handlers.handle(node, message)
     except exceptions.WaxwingleverError:
         raise
     except Exception as error:  # pylint: disable=broad-exception-caught
@@ -197,7 +199,7 @@
         site.book,
         site.lines,
     )
-    ownership_node.start(node)
+    lifecycle.start(node)
     site.log(
         "backend-announced",
         tenant=announcement.tenant,
@@ -336,7 +338,7 @@
     site.closing = True
     if site.node is None:
         return True
-    return ownership_node.leave(site.node, daemon.settings.drain_timeout_s)
+    return lifecycle.leave(site.node, daemon.settings.drain_timeout_s)
 
 
 def close(daemon: Daemon) -> None:
@@ -344,7 +346,7 @@
     site = daemon.site
     site.stopping.set()
     if site.node is not None:
-        ownership_node.stop(site.node)
+        lifecycle.stop(site.node)
     daemon.watcher.join()
     daemon.server.close()
     site.peers.close()
--- a/packages/daemon/tests/test_assembly.py
+++ b/packages/daemon/tests/test_assembly.py
@@ -10,6 +10,8 @@
 from waxwinglever_front import site as sites
 from waxwinglever_model import exceptions
 from waxwinglever_model import limits
+from waxwinglever_ownership import handlers
+from waxwinglever_ownership import lifecycle
 from waxwinglever_ownership import configs
 from waxwinglever_ownership import node as ownership_node
 from waxwinglever_peers import messages
@@ -23,7 +25,7 @@
         self.daemon = self.make.daemon()
         self.site = self.daemon.site
         # The threads of a node have their own tests.
-        self.patch(ownership_node, "start", lambda _: None)
+        self.patch(lifecycle, "start", lambda _: None)
 
     def announce(self, **changes):
         assembly.take_announcement(
@@ -50,9 +52,7 @@
     def test_an_unexpected_error_is_answered_as_a_refusal(self):
         self.announce()
         message = messages.MapRequest("t/s/0")
-        with mock.patch.object(
-            ownership_node, "handle", side_effect=KeyError("k")
-        ):
+        with mock.patch.object(handlers, "handle", side_effect=KeyError("k")):
             self.assertRaises(
                 exceptions.InvalidInput, assembly.handle, self.daemon, message
             )
--- a/packages/ownership/src/waxwinglever_ownership/__init__.py
+++ b/packages/ownership/src/waxwinglever_ownership/__init__.py
@@ -1,5 +1,7 @@
 """Leases, terms, elections and moves of slices.
 
-Public modules: configs, directory, membership, node. The others hold the
-decisions: changes, elections, leadership, leases, records.
+Public modules: configs, directory, handlers, lifecycle, membership, node.
+
+The threads run in candidacy, leading and news. They call the decisions in
+changes, elections, leadership, leases and membership.
 """
--- /dev/null
+++ b/packages/ownership/src/waxwinglever_ownership/candidacy.py
@@ -0,0 +1,181 @@
+"""The control thread: joins the cell, waits for silence and stands."""
+
+import random
+import threading
+
+from waxwinglever_model import cells
+from waxwinglever_model import exceptions
+from waxwinglever_model import limits
+from waxwinglever_ownership import configs
+from waxwinglever_ownership import elections
+from waxwinglever_ownership import leadership
+from waxwinglever_ownership import leading
+from waxwinglever_ownership import node as nodes
+from waxwinglever_ownership import records
+from waxwinglever_peers import messages
+
+JOIN_INTERVAL_S = 0.5
+
+
+def run_control(node: nodes.CellNode) -> None:
+    """Joins the cell, waits for silence and leads when elected."""
+    while not node.stopping.is_set():
+        await_silence(node)
+        if node.stopping.is_set():
+            return
+        try:
+            leader = stand(node)
+        except (exceptions.StoreUnavailable, exceptions.InvalidInput) as error:
+            node.around.log("election-failed", error=str(error))
+            node.stopping.wait(nodes.STORE_RETRY_S)
+            continue
+        except exceptions.Conflict:
+            # Another candidate was first; its heartbeats are on their way.
+            nodes.restart_silence(node)
+            continue
+        if leader is None:
+            # An old value of the store or missing support: not at once again.
+            node.stopping.wait(nodes.STORE_RETRY_S)
+        else:
+            leading.lead(node, leader)
+
+
+def await_silence(node: nodes.CellNode) -> None:
+    """Returns when no leader was heard for the silence limit.
+
+    A node that the record does not hold as it is asks the leader to record
+    it meanwhile.
+    """
+    limit = elections.silence_limit_s(
+        node.state.record, node.me.node, random.random()
+    )
+    next_join = node.around.now()
+    while not node.stopping.is_set() and not node.stand_now:
+        now = node.around.now()
+        if now - node.state.last_heard > limit:
+            return
+        if now >= next_join:
+            ask_to_join(node)
+            next_join = now + JOIN_INTERVAL_S
+        wait_s = min(node.state.last_heard + limit, next_join) - now
+        with node.state.lock:
+            if not node.stopping.is_set() and not node.stand_now:
+                node.state.lock.wait(max(0.01, wait_s))
+        nodes.log_expired(node)
+
+
+def ask_to_join(node: nodes.CellNode) -> None:
+    """Asks the leader to record this node as it is, or to remove it."""
+    record = node.state.record
+    known = record.member(node.me.node) if record is not None else None
+    if known == node.me and not node.leaving:
+        return
+    address = nodes.leader_address(node)
+    if not address:
+        return
+    request = messages.JoinRequest(node.state.cell, node.me, node.leaving)
+    try:
+        reply = node.around.peers.call(address, request, limits.PEER_TIMEOUT_S)
+    except exceptions.PeerUnavailable:
+        return
+    if isinstance(reply, messages.JoinReply) and reply.accepted:
+        node.removed = node.leaving and reply.recorded
+
+
+def stand(node: nodes.CellNode) -> leadership.LeaderState | None:
+    """Takes the next term if a majority hears no leader (R4, R10).
+
+    Returns:
+      The state of the new leadership, or None when this node must not lead.
+
+    Raises:
+      StoreUnavailable: The store did not answer.
+      Conflict: Another candidate was first.
+    """
+    is_asked = node.stand_now
+    node.stand_now = False
+    record, version = records.read(node.around.store, node.state.cell)
+    if record is None:
+        return create_cell(node)
+    with node.state.lock:
+        if record.term < node.state.term:
+            # An old value: the store has served a higher term before.
+            return None
+        if node.state.record is None or version > node.state.version:
+            node.state.record, node.state.version = record, version
+        is_new_term = record.term > node.state.term
+        if is_new_term:
+            # Somebody took this term already: wait for its heartbeats first.
+            node.state.term = record.term
+            node.state.leader = record.leader
+            node.state.sequence = 0
+            node.state.send_times.clear()
+    if record.member(node.me.node) is None or node.leaving:
+        nodes.restart_silence(node)
+        ask_to_join(node)
+        return None
+    if is_new_term and record.leader != node.me.node:
+        nodes.restart_silence(node)
+        return None
+    if not is_asked and not has_support(node, record):
+        return None
+    taken = elections.next_term(record, node.me.node, node.me.incarnation)
+    version = records.write(node.around.store, taken, version)
+    return begin_leadership(node, taken, version, is_new_cell=False)
+
+
+def create_cell(node: nodes.CellNode) -> leadership.LeaderState | None:
+    """Creates the cell's record with this node as its only member."""
+    rules = configs.rules_for(node.book, node.tenant, node.service)
+    if rules is None:
+        # The configuration thread reads it from the store.
+        return None
+    record = elections.first_record(node.state.cell, node.me, rules.keyed)
+    version = records.write(node.around.store, record, 0)
+    return begin_leadership(node, record, version, is_new_cell=True)
+
+
+def begin_leadership(
+    node: nodes.CellNode,
+    record: cells.CellRecord,
+    version: int,
+    is_new_cell: bool,
+) -> leadership.LeaderState:
+    """Returns the state of a leadership that the store has confirmed."""
+    node.around.log(
+        "leader-began", cell=record.cell, term=record.term, reason="elected"
+    )
+    return leadership.new_leader(
+        record, version, node.around.now(), is_new_cell
+    )
+
+
+def has_support(node: nodes.CellNode, record: cells.CellRecord) -> bool:
+    """Asks the other members whether they hear the leader (R10)."""
+    replies: list[messages.ElectionProbeReply] = []
+    probe = messages.ElectionProbe(
+        node.state.cell, node.state.term, node.me.node
+    )
+
+    def ask(address: str) -> None:
+        try:
+            reply = node.around.peers.call(
+                address, probe, limits.PEER_TIMEOUT_S
+            )
+        except exceptions.PeerUnavailable:
+            return
+        if isinstance(reply, messages.ElectionProbeReply):
+            replies.append(reply)
+
+    threads = [
+        threading.Thread(target=ask, args=(member.peer_address,), daemon=True)
+        for member in record.members
+        if member.node != node.me.node
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    rules = configs.rules_for(node.book, node.tenant, node.service)
+    retired = rules.retired if rules is not None else frozenset()
+    return elections.may_stand(record, node.me.node, replies, retired)
--- /dev/null
+++ b/packages/ownership/src/waxwinglever_ownership/handlers.py
@@ -0,0 +1,144 @@
+"""Answers to the messages of other daemons."""
+
+import attrs
+
+from waxwinglever_model import exceptions
+from waxwinglever_ownership import configs
+from waxwinglever_ownership import directory
+from waxwinglever_ownership import membership
+from waxwinglever_ownership import news
+from waxwinglever_ownership import node as nodes
+from waxwinglever_peers import messages
+
+LOAD_REPORT_S = 2.0
+
+
+def handle(node: nodes.CellNode, message: messages.Message) -> messages.Message:
+    """Returns the answer to a message of another daemon.
+
+    Raises:
+      InvalidInput: The message is an answer, or for another cell.
+    """
+    match message:
+        case messages.Heartbeat():
+            return handle_heartbeat(node, message)
+        case messages.ElectionProbe():
+            return messages.ElectionProbeReply(
+                node.me.node,
+                membership.is_silent(node.state, node.around.now()),
+                node.state.term,
+            )
+        case messages.TransferLeadership():
+            with node.state.lock:
+                is_current = message.term >= node.state.term
+                if nodes.is_mine(node, message.cell) and is_current:
+                    node.stand_now = True
+                    node.state.lock.notify_all()
+            return messages.Accepted()
+        case messages.JoinRequest():
+            return handle_join(node, message)
+        case messages.MapRequest():
+            return handle_map(node, message)
+        case messages.DirectoryExchange():
+            return handle_exchange(node, message)
+        case messages.CrashReport():
+            node.around.on_crash_report(message)
+            return messages.Accepted()
+    raise exceptions.InvalidInput(
+        f"{type(message).__name__} is not a request",
+        "check which program sends to the peer port",
+    )
+
+
+def handle_heartbeat(
+    node: nodes.CellNode, heartbeat: messages.Heartbeat
+) -> messages.HeartbeatAck:
+    """Applies a heartbeat, with what it carries, and acknowledges it.
+
+    Raises:
+      InvalidInput: The heartbeat is for another node or cell.
+    """
+    if (heartbeat.cell, heartbeat.member) != (node.state.cell, node.me.node):
+        raise exceptions.InvalidInput(
+            f"the heartbeat is for node {heartbeat.member!r} of cell"
+            f" {heartbeat.cell!r}, and node {node.me.node!r} of"
+            f" {node.state.cell!r} has this address now",
+            "wait until the record drops the replaced node",
+        )
+    for update in heartbeat.configs:
+        news.accept_config(node, update.tenant, update.value)
+    if heartbeat.directory is not None:
+        directory.learn(node.lines, heartbeat.directory)
+    loads = due_loads(node)
+    ack = membership.accept_heartbeat(node.state, heartbeat, node.around.now())
+    nodes.log_ownership(node)
+    return attrs.evolve(
+        ack,
+        generations=configs.generations(node.book),
+        directory_version=heartbeat.directory_version,
+        loads=loads,
+    )
+
+
+def due_loads(node: nodes.CellNode) -> tuple[messages.SliceLoad, ...] | None:
+    """Returns the loads of this node's slices, if it is time to report them.
+
+    A report takes about 1.5 KB, too much for each acknowledgement.
+    """
+    now = node.around.now()
+    if now < node.next_report:
+        return None
+    node.next_report = now + LOAD_REPORT_S
+    return node.around.loads()
+
+
+def handle_join(
+    node: nodes.CellNode, request: messages.JoinRequest
+) -> messages.JoinReply:
+    """Notes a join or leave while leading; names the leader otherwise."""
+    leader = node.leader
+    if (
+        leader is None
+        or leader.stepped_down
+        or not nodes.is_mine(node, request.cell)
+    ):
+        return messages.JoinReply(False, nodes.leader_address(node))
+    with leader.lock:
+        recorded = leader.record.member(request.member.node)
+        if request.leaving:
+            if recorded is not None:
+                leader.leaving.add(request.member.node)
+            is_done = recorded is None
+        else:
+            leader.leaving.discard(request.member.node)
+            is_done = recorded == request.member
+            if not is_done:
+                leader.joins[request.member.node] = request.member
+        leader.lock.notify_all()
+    return messages.JoinReply(True, node.me.peer_address, is_done)
+
+
+def handle_map(
+    node: nodes.CellNode, request: messages.MapRequest
+) -> messages.MapReply:
+    """Returns the record of this node's cell if it is newer than known."""
+    if not nodes.is_mine(node, request.cell):
+        raise exceptions.InvalidInput(
+            f"node {node.me.node} is not in cell {request.cell!r}",
+            "forget the address and read the directory again",
+        )
+    with node.state.lock:
+        record, version = node.state.record, node.state.version
+    if record is None or version <= request.known_version:
+        return messages.MapReply(request.cell, version)
+    return messages.MapReply(request.cell, version, record)
+
+
+def handle_exchange(
+    node: nodes.CellNode, message: messages.DirectoryExchange
+) -> messages.DirectoryExchange:
+    """Takes what another leader knows and returns what it lacks."""
+    directory.learn(node.lines, message.lines)
+    for update in message.configs:
+        news.accept_config(node, update.tenant, update.value)
+    return news.exchange_message(node, message.generations)
--- /dev/null
+++ b/packages/ownership/src/waxwinglever_ownership/news.py
@@ -0,0 +1,127 @@
+"""Configurations and lines of other cells, from the store and from leaders."""
+
+import random
+
+from waxwinglever_model import cells
+from waxwinglever_model import exceptions
+from waxwinglever_model import limits
+from waxwinglever_ownership import configs
+from waxwinglever_ownership import directory
+from waxwinglever_ownership import membership
+from waxwinglever_ownership import node as nodes
+from waxwinglever_ownership import records
+from waxwinglever_peers import messages
+from waxwinglever_records import config
+
+# The store is asked for the lines of other cells this often by each leader.
+DIRECTORY_INTERVAL_S = 2.0
+# A watch whose answer is lost looks like one without news until this time is
+# over, so it has to leave room within the 7 s for a configuration. At 120
+# leaders it costs the store 40 reads a second.
+CONFIG_WATCH_S = 3.0
+# A daemon that hears no leader reads the configuration this often.
+CONFIG_POLL_S = 2.0
+
+
+def exchange_message(
+    node: nodes.CellNode, known: dict[str, int]
+) -> messages.DirectoryExchange:
+    """Returns this node's lines and the configurations newer than known."""
+    _, lines = directory.snapshot(node.lines)
+    return messages.DirectoryExchange(
+        lines,
+        configs.generations(node.book),
+        configs.updates_for(node.book, known, (node.tenant,)),
+    )
+
+
+def accept_config(node: nodes.CellNode, tenant: str, value: str) -> None:
+    """Takes a configuration into force if it is newer, and logs it."""
+    if configs.offer(node.book, tenant, value):
+        node.around.log(
+            "config-accepted",
+            tenant=tenant,
+            generation=configs.generations(node.book)[tenant],
+        )
+
+
+def run_configs(node: nodes.CellNode) -> None:
+    """Keeps the configuration up to date.
+
+    The leader watches the store. Other members get it in heartbeats, and read
+    the store at a limited rate while they hear no leader.
+    """
+    version = 0
+    while not node.stopping.is_set():
+        key = config.store_key(node.tenant)
+        try:
+            if node.leader is not None:
+                entry = node.around.store.watch(key, version, CONFIG_WATCH_S)
+            elif is_uninformed(node):
+                entry = node.around.store.get(key)
+            else:
+                entry = None
+        except exceptions.StoreUnavailable:
+            entry = None
+            node.stopping.wait(nodes.STORE_RETRY_S)
+        if entry is not None:
+            version = entry.version
+            accept_config(node, node.tenant, entry.value)
+        if node.leader is None:
+            node.stopping.wait(CONFIG_POLL_S * random.uniform(0.5, 1.0))
+
+
+def is_uninformed(node: nodes.CellNode) -> bool:
+    """Returns whether the node has or gets no configuration."""
+    if node.tenant not in configs.generations(node.book):
+        return True
+    return membership.is_silent(node.state, node.around.now())
+
+
+def run_directory(node: nodes.CellNode) -> None:
+    """While leading, learns of other cells from the store and from leaders."""
+    while not node.stopping.is_set():
+        if node.leader is not None:
+            try:
+                read_directory(node)
+            except exceptions.StoreUnavailable:
+                exchange_directories(node)
+        elif not node.lines.lines:
+            try:
+                read_directory(node)
+            except exceptions.StoreUnavailable:
+                pass
+        node.stopping.wait(DIRECTORY_INTERVAL_S * random.uniform(0.8, 1.0))
+
+
+def read_directory(node: nodes.CellNode) -> None:
+    """Learns the lines of the tenant's cells from the store."""
+    prefix = records.store_key(f"{node.tenant}/")
+    lines = []
+    for entry in node.around.store.list_prefix(prefix):
+        try:
+            record = records.decode(entry.value)
+        except exceptions.InvalidInput as error:
+            node.around.log("record-ignored", key=entry.key, error=str(error))
+            continue
+        lines.append(cells.line_of(record, entry.version))
+    directory.learn(node.lines, lines)
+
+
+def exchange_directories(node: nodes.CellNode) -> None:
+    """Exchanges lines and configurations with the leaders of other cells."""
+    _, lines = directory.snapshot(node.lines)
+    for line in lines:
+        if nodes.is_mine(node, line.cell) or not line.leader_address:
+            continue
+        message = exchange_message(node, {})
+        try:
+            reply = node.around.peers.call(
+                line.leader_address, message, limits.PEER_TIMEOUT_S
+            )
+        except exceptions.PeerUnavailable:
+            continue
+        if isinstance(reply, messages.DirectoryExchange):
+            directory.learn(node.lines, reply.lines)
+            for update in reply.configs:
+                accept_config(node, update.tenant, update.value)
--- a/packages/ownership/tests/test_node_configs.py
+++ b/packages/ownership/tests/test_news.py
@@ -1,10 +1,11 @@
-"""Tests of how waxwinglever_ownership.node learns of configurations."""
+"""Tests of waxwinglever_ownership.news."""
 
 import testtools
 
 from waxwinglever_model import cells
 from waxwinglever_model import exceptions
 from waxwinglever_model import limits
+from waxwinglever_ownership import news
 from waxwinglever_ownership import configs
 from waxwinglever_ownership import directory
 from waxwinglever_ownership import leadership
@@ -48,7 +49,7 @@
 
         store = calls.StoreCalls(unused, unused, unused, watch, unused)
         node = self.leading_node(store)
-        node_module.run_configs(node)
+        news.run_configs(node)
         self.assertEqual({"t": 1}, configs.generations(node.book))
         total_s = sum(waited_s) + node_module.STORE_RETRY_S + SPREAD_S
         self.assertTrue(total_s < CONFIG_BOUND_S, total_s)
--- a/packages/ownership/tests/test_node.py
+++ b/packages/ownership/tests/test_node.py
@@ -6,6 +6,10 @@
 import testtools
 
 from waxwinglever_model import exceptions
+from waxwinglever_ownership import lifecycle
+from waxwinglever_ownership import leading
+from waxwinglever_ownership import handlers
+from waxwinglever_ownership import candidacy
 from waxwinglever_ownership import configs
 from waxwinglever_ownership import directory
 from waxwinglever_ownership import leadership
@@ -66,7 +70,7 @@
             self.make.record(),
             member="a",
         )
-        return node.handle(made, attrs.evolve(heartbeat, **changes))
+        return handlers.handle(made, attrs.evolve(heartbeat, **changes))
 
     def test_a_heartbeat_brings_record_configuration_and_directory(self):
         made = self.new_node()
@@ -100,7 +104,7 @@
         joining = messages.JoinRequest("t/s/0", self.make.member("d"))
         self.heard(made)
         self.assertEqual(
-            messages.JoinReply(False, "b:p"), node.handle(made, joining)
+            messages.JoinReply(False, "b:p"), handlers.handle(made, joining)
         )
         record = self.make.record()
         made.leader = leadership.new_leader(record, 1, self.now, True)
@@ -110,32 +114,34 @@
             (attrs.evolve(joining, leaving=True), True),
         )
         for request, recorded in cases:
-            reply = node.handle(made, request)
+            reply = handlers.handle(made, request)
             self.assertEqual((True, recorded), (reply.accepted, reply.recorded))
         other = attrs.evolve(joining, cell="t/x/0")
-        self.assertFalse(node.handle(made, other).accepted)
+        self.assertFalse(handlers.handle(made, other).accepted)
 
     def test_maps_probes_and_answers(self):
         made = self.new_node()
         self.heard(made)
         ask = messages.MapRequest
-        self.assertIsNotNone(node.handle(made, ask("t/s/0")).record)
-        self.assertIsNone(node.handle(made, ask("t/s/0", 1)).record)
+        self.assertIsNotNone(handlers.handle(made, ask("t/s/0")).record)
+        self.assertIsNone(handlers.handle(made, ask("t/s/0", 1)).record)
         for wrong in (ask("t/x/0"), messages.Accepted()):
-            self.assertRaises(exceptions.InvalidInput, node.handle, made, wrong)
+            self.assertRaises(
+                exceptions.InvalidInput, handlers.handle, made, wrong
+            )
         probe = messages.ElectionProbe("t/s/0", 1, "c")
-        self.assertFalse(node.handle(made, probe).silent)
+        self.assertFalse(handlers.handle(made, probe).silent)
         self.now += 1.0
-        self.assertTrue(node.handle(made, probe).silent)
+        self.assertTrue(handlers.handle(made, probe).silent)
 
     def test_a_member_stands_only_with_a_majority(self):
         made = self.new_node("a", stored=self.make.record())
         self.heard(made)
         hearing = messages.ElectionProbeReply("b", False, 1)
         self.answers = {"b:p": hearing}
-        self.assertIsNone(node.stand(made))
+        self.assertIsNone(candidacy.stand(made))
         self.answers = {"b:p": attrs.evolve(hearing, silent=True)}
-        self.assertEqual(2, node.stand(made).record.term)
+        self.assertEqual(2, candidacy.stand(made).record.term)
         stored, _ = records.read(made.around.store, "t/s/0")
         self.assertEqual((2, "a"), (stored.term, stored.leader))
 
@@ -147,7 +153,7 @@
             ("t/x/0", 4, False),
             ("t/s/0", 4, True),
         ):
-            node.handle(made, messages.TransferLeadership(cell, term))
+            handlers.handle(made, messages.TransferLeadership(cell, term))
             self.assertEqual(expected, made.stand_now, (cell, term))
 
     def test_a_node_that_returns_is_no_longer_leaving(self):
@@ -158,7 +164,7 @@
             request = messages.JoinRequest(
                 "t/s/0", self.make.member("b", life), leaving
             )
-            node.handle(made, request)
+            handlers.handle(made, request)
             self.assertEqual(leaving, "b" in made.leader.leaving)
 
     def test_a_member_waits_for_the_leader_of_a_new_term(self):
@@ -167,31 +173,31 @@
             f"{name}:p": messages.ElectionProbeReply(name, True, 1)
             for name in "bc"
         }
-        self.assertIsNone(node.stand(made))
+        self.assertIsNone(candidacy.stand(made))
         self.assertEqual(5, made.state.term)
 
     def test_an_old_value_of_the_store_starts_no_election(self):
         made = self.new_node("a", stored=self.make.record())
         self.heard(made, term=4, sequence=9)
         made.stand_now = True
-        self.assertIsNone(node.stand(made))
+        self.assertIsNone(candidacy.stand(made))
 
     def test_a_node_that_is_not_recorded_asks_to_join(self):
         made = self.new_node("d", stored=self.make.record(leader="b"))
         self.answers = {"b:p": messages.JoinReply(True, "b:p")}
-        self.assertIsNone(node.stand(made))
+        self.assertIsNone(candidacy.stand(made))
         (sent,) = self.sent
         self.assertEqual(("b:p", messages.JoinRequest("t/s/0", made.me)), sent)
 
     def test_the_first_node_creates_the_cell(self):
         made = self.new_node("a")
-        self.assertIsNone(node.stand(made))
+        self.assertIsNone(candidacy.stand(made))
         configs.offer(made.book, "t", self.make.config(1))
-        leader = node.stand(made)
+        leader = candidacy.stand(made)
         self.assertEqual((1, "a"), (leader.record.term, leader.record.leader))
         late = self.new_node("b")
         configs.offer(late.book, "t", self.make.config(1))
-        self.assertRaises(exceptions.Conflict, node.create_cell, late)
+        self.assertRaises(exceptions.Conflict, candidacy.create_cell, late)
 
     def test_an_unanswered_write_is_never_given_up(self):
         made = self.new_node("a", stored=self.make.record())
@@ -200,14 +206,14 @@
         changed = attrs.evolve(record, nonce="w1")
         leadership.begin_change(leader, changed)
         self.store.faults = attrs.evolve(self.store.faults, lose_answers=1)
-        node.write_change(made, leader, changed)
+        leading.write_change(made, leader, changed)
         self.assertEqual((changed, None), (leader.record, leader.pending))
         self.assertFalse(leader.stepped_down)
         other = attrs.evolve(record, nonce="w2")
         records.write(made.around.store, other, leader.version)
         lost = attrs.evolve(record, nonce="w3")
         leadership.begin_change(leader, lost)
-        node.write_change(made, leader, lost)
+        leading.write_change(made, leader, lost)
         self.assertTrue(leader.stepped_down)
 
     def test_the_thread_of_a_member_is_started_again(self):
@@ -219,7 +225,7 @@
         ended.start()
         ended.join()
         peers = {name: ended for name in "abc"}
-        node.start_peers(made, leader, peers)
+        leading.start_peers(made, leader, peers)
         started = list(peers.values())
         leadership.step_down(leader)
         self.assertNotIn(ended, started)
@@ -234,7 +240,7 @@
             target = nodes.get(address)
             if target is None or target.me.node in cut:
                 raise links.unavailable(address, "cut")
-            return node.handle(target, message)
+            return handlers.handle(target, message)
 
         log = []
         changed = threading.Condition()
@@ -269,7 +275,7 @@
             nodes[made.me.peer_address] = made
         try:
             for made in nodes.values():
-                node.start(made)
+                lifecycle.start(made)
             wait_for(lambda: served_by("abc"))
             wait_for(lambda: any(n.leader for n in nodes.values()))
             (leading,) = [n for n in nodes.values() if n.leader]
