Survive empty and undecodable messages between daemons

Cause: pynng's recv() raises RuntimeError for an empty message. That ended the thread that answers other daemons, so one empty message to the peer port took a node out of its cell. On the calling side an undecodable answer left the call as InvalidInput, which its callers do not expect. Ruled out: the codec (it refuses an empty text). Change: messages are received with recv_msg(), and a bad answer counts as no answer. Before: test_garbage_gets_an_error_reply_and_the_server_goes_on and test_an_answer_that_is_garbage_counts_as_none failed; after: pass.

--- a/packages/peers/src/waxwinglever_peers/links.py
+++ b/packages/peers/src/waxwinglever_peers/links.py
@@ -68,8 +68,8 @@
             link.socket.send_timeout = timeout_ms
             link.socket.recv_timeout = timeout_ms
             link.socket.send(codec.encode(message))
-            return codec.decode(link.socket.recv())
-        except pynng.NNGException as error:
+            return codec.decode(receive(link.socket))
+        except (pynng.NNGException, exceptions.InvalidInput) as error:
             raise unavailable(address, str(error)) from error
         finally:
             link.lock.release()
@@ -83,6 +83,11 @@
     return PeerCalls(call, close)
 
 
+def receive(socket: pynng.Socket) -> bytes:
+    """Returns the next message; recv() raises RuntimeError for an empty one."""
+    return socket.recv_msg().bytes
+
+
 def unavailable(address: str, why: str) -> exceptions.PeerUnavailable:
     """Returns the error for a daemon that did not answer."""
     return exceptions.PeerUnavailable(
@@ -144,7 +149,7 @@
     def run() -> None:
         while True:
             try:
-                socket.send(answer(socket.recv()))
+                socket.send(answer(receive(socket)))
             except pynng.Closed:
                 return
             except pynng.NNGException:
--- a/packages/peers/tests/test_links.py
+++ b/packages/peers/tests/test_links.py
@@ -1,5 +1,7 @@
 """Tests of waxwinglever_peers.links."""
 
+import threading
+
 import pynng
 import testtools
 
@@ -48,12 +50,33 @@
         self.start(lambda m: messages.Accepted())
         with pynng.Req0(send_timeout=2000, recv_timeout=2000) as socket:
             socket.dial(f"tcp://{ADDRESS}", block=True)
-            socket.send(b"garbage")
-            socket.recv()
-        self.assertEqual(1, len(self.errors))
+            for garbage in (b"garbage", b""):
+                socket.send(garbage)
+                socket.recv()
+        self.assertEqual(2, len(self.errors))
         reply = self.calls.call(ADDRESS, messages.Accepted(), 2.0)
         self.assertEqual(messages.Accepted(), reply)
 
+    def test_an_answer_that_is_garbage_counts_as_none(self):
+        with pynng.Rep0(listen=f"tcp://{ADDRESS}", recv_timeout=2000) as socket:
+
+            def answer():
+                for garbage in (b"garbage", b""):
+                    socket.recv()
+                    socket.send(garbage)
+
+            thread = threading.Thread(target=answer)
+            thread.start()
+            for _ in range(2):
+                self.assertRaises(
+                    exceptions.PeerUnavailable,
+                    self.calls.call,
+                    ADDRESS,
+                    messages.Accepted(),
+                    2.0,
+                )
+            thread.join()
+
     def test_a_reconnect_after_the_listener_came_back(self):
         server = self.start(lambda m: messages.Accepted())
         self.calls.call(ADDRESS, messages.Accepted(), 2.0)
