--- /dev/null
+++ b/packages/daemon/tests/test_main.py
@@ -0,0 +1,103 @@
+"""Tests of waxwinglever_daemon.main, with real processes."""
+
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+
+
+import pynng
+import testtools
+import urllib3
+
+TIMEOUT_S = 30
+JUNK = (b"", b"\x00" * 8, b"GET", b"\xff" * 70_000, b"POST /s/t/s/ HTTP/9\r\n")
+
+
+class ProcessTest(testtools.TestCase):
+    """Guards against a daemon that stops on its own, or not when asked."""
+
+    def setUp(self):
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = pathlib.Path(folder.name) / "settings.json"
+        self.http = urllib3.PoolManager(retries=False, timeout=TIMEOUT_S)
+        self.addCleanup(self.http.clear)
+
+    def start(self, settings, *options):
+        self.path.write_text(json.dumps(settings), encoding="utf-8")
+        process = subprocess.Popen(
+            [
+                sys.executable,
+                "-m",
+                "waxwinglever_daemon.main",
+                "--settings",
+                str(self.path),
+                *options,
+            ],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            text=True,
+            env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)},
+        )
+        self.addCleanup(self.end, process)
+        return process
+
+    def end(self, process):
+        if process.poll() is None:
+            process.kill()
+        process.communicate()
+
+    def start_serving(self, host, **changes):
+        settings = self.make.settings(host, **changes)
+        process = self.start(settings)
+        for line in process.stdout:
+            if json.loads(line)["event"] == "daemon-started":
+                return process
+        raise AssertionError(process.stderr.read())
+
+    def ask(self, host, path, method="GET", body=None):
+        return self.http.request(method, f"http://{host}:8080{path}", body=body)
+
+    def test_check_and_bad_settings_have_their_exit_codes(self):
+        good = self.make.settings()
+        for settings, options, code, text in (
+            (good, ["--check"], 0, "are valid"),
+            ({**good, "colour": 1}, ["--check"], 2, "colour"),
+            ({**good, "node": "A"}, [], 2, "node"),
+            ([], [], 2, "JSON object"),
+        ):
+            process = self.start(settings, *options)
+            out, error = process.communicate(timeout=TIMEOUT_S)
+            self.assertEqual(code, process.returncode, error)
+            self.assertIn(text, out + error)
+            self.assertNotIn("Traceback", error)
+
+    def test_junk_does_not_stop_it_and_sigterm_does(self):
+        host = "127.61.0.3"
+        process = self.start_serving(host)
+        for port in (8080, 8081):
+            for junk in JUNK:
+                with socket.create_connection((host, port)) as link:
+                    with contextlib.suppress(ConnectionError):
+                        link.sendall(junk)
+        with pynng.Req0(recv_timeout=TIMEOUT_S * 1000) as link:
+            link.dial(f"tcp://{host}:8081", block=True)
+            for junk in JUNK:
+                link.send(junk)
+                self.assertIn(b"ErrorReply", link.recv())
+        self.assertEqual(200, self.ask(host, "/healthz").status)
+        self.assertEqual(503, self.ask(host, "/readyz").status)
+        reply = self.ask(host, "/s/t/s/x")
+        self.assertEqual(
+            (404, "not-run"),
+            (reply.status, reply.headers["Waxwinglever-Outcome"]),
+        )
+        process.send_signal(signal.SIGTERM)
+        self.assertEqual(0, process.wait(TIMEOUT_S))
