End the process at once after a second SIGTERM

Cause: sys.exit() waits for the threads that serve requests, which do not end, so a forced stop never took effect. Ruled out: the signal handler (the log line of the forced stop appeared). Change: the process ends with os._exit after its log is flushed. Before: test_a_second_sigterm_stops_a_drain failed after 30 s; after: passes.

--- a/packages/daemon/src/waxwinglever_daemon/main.py
+++ b/packages/daemon/src/waxwinglever_daemon/main.py
@@ -1,6 +1,7 @@
 """The program `waxwingleverd`."""
 
 import logging
+import os
 import signal
 import sys
 import threading
@@ -57,7 +58,12 @@
     except exceptions.InvalidInput as error:
         click.echo(f"waxwingleverd: {error}", err=True)
         sys.exit(EXIT_BAD_SETTINGS)
-    sys.exit(run(daemon))
+    code = run(daemon)
+    if code == EXIT_FORCED:
+        # sys.exit would wait for the threads that serve requests.
+        sys.stdout.flush()
+        os._exit(code)
+    sys.exit(code)
 
 
 def run(daemon: assembly.Daemon) -> int:
--- a/packages/daemon/tests/test_main.py
+++ b/packages/daemon/tests/test_main.py
@@ -10,11 +10,13 @@
 import sys
 import tempfile
 
-
+import attrs
 import pynng
 import testtools
 import urllib3
 
+from waxwinglever_daemon import main
+
 TIMEOUT_S = 30
 JUNK = (b"", b"\x00" * 8, b"GET", b"\xff" * 70_000, b"POST /s/t/s/ HTTP/9\r\n")
 
@@ -101,3 +103,16 @@
         )
         process.send_signal(signal.SIGTERM)
         self.assertEqual(0, process.wait(TIMEOUT_S))
+
+    def test_a_second_sigterm_stops_a_drain(self):
+        host = "127.61.0.4"
+        # Without a store the node can't leave, so the drain takes its time.
+        process = self.start_serving(host, drain_timeout_s=300)
+        body = json.dumps(attrs.asdict(self.make.announcement()))
+        reply = self.ask(host, "/announce", "POST", body)
+        self.assertEqual(200, reply.status, reply.data)
+        process.send_signal(signal.SIGTERM)
+        while b"draining" not in self.ask(host, "/readyz").data:
+            self.assertIsNone(process.poll())
+        process.send_signal(signal.SIGTERM)
+        self.assertEqual(main.EXIT_FORCED, process.wait(TIMEOUT_S))
