Report an http_address in use as a settings error

Cause: CherryPy ends the process with exit code 70 and a traceback when it can't bind its address. Ruled out: catching the error around engine.start() (CherryPy exits by itself). Change: the address is bound once for a check before anything is started. Before: test_an_address_in_use_is_a_settings_error failed, 70 != 2; after: passes.

--- a/packages/daemon/src/waxwinglever_daemon/main.py
+++ b/packages/daemon/src/waxwinglever_daemon/main.py
@@ -3,6 +3,7 @@
 import logging
 import os
 import signal
+import socket
 import sys
 import threading
 
@@ -54,6 +55,7 @@
         return
     logs.configure(sys.stdout, settings.node)
     try:
+        check_http_address(settings.http_address)
         daemon = assembly.assemble(settings)
     except exceptions.InvalidInput as error:
         click.echo(f"waxwingleverd: {error}", err=True)
@@ -66,6 +68,30 @@
     sys.exit(code)
 
 
+def check_http_address(address: str) -> None:
+    """Checks that the address for callers can be bound.
+
+    CherryPy ends the process with a traceback when it can't.
+
+    Raises:
+      InvalidInput: The address is in use or not of this VM.
+    """
+    host, _, port = address.rpartition(":")
+    is_ipv6 = host.startswith("[")
+    family = socket.AF_INET6 if is_ipv6 else socket.AF_INET
+    with socket.socket(family, socket.SOCK_STREAM) as probe:
+        # As CherryPy's server sets it: connections of an earlier daemon that
+        # are still closing don't count.
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((host.strip("[]"), int(port)))
+        except OSError as error:
+            raise exceptions.InvalidInput(
+                f"http_address {address} can't be bound: {error}",
+                "stop the process that holds it, or correct the settings",
+            ) from error
+
+
 def run(daemon: assembly.Daemon) -> int:
     """Serves until SIGTERM or SIGINT, drains, and returns the exit code."""
     asked = threading.Event()
--- a/packages/daemon/tests/test_main.py
+++ b/packages/daemon/tests/test_main.py
@@ -81,6 +81,19 @@
             self.assertIn(text, out + error)
             self.assertNotIn("Traceback", error)
 
+    def test_an_address_in_use_is_a_settings_error(self):
+        host = "127.61.0.2"
+        for port in (8080, 8081):
+            with socket.socket() as taken:
+                taken.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                taken.bind((host, port))
+                taken.listen()
+                process = self.start(self.make.settings(host))
+                _, error = process.communicate(timeout=TIMEOUT_S)
+            self.assertEqual(2, process.returncode, error)
+            self.assertIn(f"{host}:{port}", error)
+            self.assertNotIn("Traceback", error)
+
     def test_junk_does_not_stop_it_and_sigterm_does(self):
         host = "127.61.0.3"
         process = self.start_serving(host)
