--- a/packages/daemon/src/waxwinglever_daemon/settings.py
+++ b/packages/daemon/src/waxwinglever_daemon/settings.py
@@ -82,7 +82,7 @@
 
 def described(error: BaseException, kind: type | None) -> str:
     """Returns the message of a check, which cattrs would leave out."""
-    if type(error) is ValueError:
+    if isinstance(error, ValueError):
         return str(error)
     return cattrs.v.format_exception(error, kind)
 
--- a/packages/daemon/tests/test_assembly.py
+++ b/packages/daemon/tests/test_assembly.py
@@ -1,5 +1,6 @@
 """Tests of waxwinglever_daemon.assembly."""
 
+import typing
 from unittest import mock
 
 import testtools
@@ -18,6 +19,8 @@
 class AssemblyTest(testtools.TestCase):
     """Guards against a daemon that misjudges its backend server."""
 
+    make: typing.Any = None
+
     def setUp(self):
         super().setUp()
         self.daemon = self.make.daemon()
--- a/packages/front/tests/conftest.py
+++ b/packages/front/tests/conftest.py
@@ -155,6 +155,7 @@
         return messages.Accepted()
 
     def request(self, method: str = "POST", **changes) -> exchange.Request:
+        """Returns a request of a caller."""
         values = {
             "tenant": "t",
             "service": self.service,
--- a/packages/front/tests/test_dispatch.py
+++ b/packages/front/tests/test_dispatch.py
@@ -1,6 +1,7 @@
 """Tests of waxwinglever_front.dispatch."""
 
 import threading
+import typing
 from concurrent import futures
 
 import attrs
@@ -21,6 +22,8 @@
 class AtMostOnceTest(testtools.TestCase):
     """Guards against a request with an id that runs twice (G7)."""
 
+    make_front: typing.Any = None
+
     def setUp(self):
         super().setUp()
         self.front = self.make_front()
@@ -86,6 +89,9 @@
 class DispatchTest(testtools.TestCase):
     """Guards against work that may not run here (G4, G8, R12)."""
 
+    make_front: typing.Any = None
+    config_value: typing.Any = None
+
     def test_the_order_ends_with_the_lease_and_carries_the_fence(self):
         front = self.make_front()
         (lease,) = front.site.node.state.held.values()
--- a/packages/front/tests/test_exchange.py
+++ b/packages/front/tests/test_exchange.py
@@ -1,5 +1,7 @@
 """Tests of waxwinglever_front.exchange."""
 
+import typing
+
 import attrs
 import testtools
 
@@ -9,6 +11,8 @@
 class ExchangeTest(testtools.TestCase):
     """Guards against a repetition that must not be, and mixed-up suspects."""
 
+    make_front: typing.Any = None
+
     def test_only_safe_methods_may_run_twice(self):
         front = self.make_front()
         safe = [
--- a/packages/front/tests/test_forward.py
+++ b/packages/front/tests/test_forward.py
@@ -2,6 +2,7 @@
 
 import http.server
 import threading
+import typing
 
 import testtools
 
@@ -36,6 +37,8 @@
 class ForwardTest(testtools.TestCase):
     """Guards against a forwarded request that changes or runs twice."""
 
+    make_front: typing.Any = None
+
     def setUp(self):
         super().setUp()
         server = http.server.ThreadingHTTPServer((HOST, 0), Handler)
--- a/packages/front/tests/test_pages.py
+++ b/packages/front/tests/test_pages.py
@@ -2,6 +2,7 @@
 
 import io
 import json
+import typing
 
 import cherrypy
 import testtools
@@ -13,6 +14,9 @@
 class PagesTest(testtools.TestCase):
     """Guards against pages that fail or hide a state."""
 
+    make_front: typing.Any = None
+    environ: typing.Any = None
+
     def setUp(self):
         super().setUp()
         self.front = self.make_front()
@@ -27,6 +31,7 @@
         self.taken.append(announcement)
 
     def ask(self, path, method="GET", body=b""):
+        """Returns status and text of a page."""
         environ = self.environ(path, method, body)
         environ.update(
             SCRIPT_NAME="",
--- a/packages/front/tests/test_router.py
+++ b/packages/front/tests/test_router.py
@@ -1,6 +1,7 @@
 """Tests of waxwinglever_front.router."""
 
 import threading
+import typing
 from unittest import mock
 
 import testtools
@@ -25,6 +26,8 @@
 class KeyedTest(testtools.TestCase):
     """Guards against lost, repeated or endless tries of a keyed request."""
 
+    make_front: typing.Any = None
+
     def setUp(self):
         super().setUp()
         self.front = self.make_front()
@@ -114,6 +117,9 @@
 class AnyTest(testtools.TestCase):
     """Guards against unbounded tries of a request without a key."""
 
+    make_front: typing.Any = None
+    config_value: typing.Any = None
+
     def setUp(self):
         super().setUp()
         self.front = self.make_front(service="any")
--- a/packages/front/tests/test_status.py
+++ b/packages/front/tests/test_status.py
@@ -1,6 +1,7 @@
 """Tests of waxwinglever_front.status."""
 
 import json
+import typing
 
 import testtools
 
@@ -12,6 +13,8 @@
 class StatusTest(testtools.TestCase):
     """Guards against a status that hides what is wrong."""
 
+    make_front: typing.Any = None
+
     def test_readiness_names_what_is_missing(self):
         front = self.make_front()
         site = front.site
--- a/packages/front/tests/test_targets.py
+++ b/packages/front/tests/test_targets.py
@@ -1,5 +1,7 @@
 """Tests of waxwinglever_front.targets."""
 
+import typing
+
 import attrs
 import testtools
 
@@ -14,6 +16,8 @@
 class TargetsTest(testtools.TestCase):
     """Guards against a request that goes to the wrong node."""
 
+    make_front: typing.Any = None
+
     def test_a_ticket_names_the_only_node(self):
         front = self.make_front(service="any")
         request = front.request(request_id="r")
--- a/packages/front/tests/test_wire.py
+++ b/packages/front/tests/test_wire.py
@@ -1,6 +1,7 @@
 """Tests of waxwinglever_front.wire."""
 
 import io
+import typing
 
 import attrs
 import testtools
@@ -42,6 +43,9 @@
 class WireTest(testtools.TestCase):
     """Guards against a request that reaches the server changed."""
 
+    make_front: typing.Any = None
+    environ: typing.Any = None
+
     def parse(self, environ):
         return wire.parse_request(environ, lambda *_: 700)
 
--- a/packages/ownership/tests/test_changes.py
+++ b/packages/ownership/tests/test_changes.py
@@ -1,5 +1,7 @@
 """Tests of waxwinglever_ownership.changes."""
 
+import typing
+
 import attrs
 import testtools
 
@@ -13,6 +15,8 @@
 class ReassignmentTest(testtools.TestCase):
     """Guards against slices that move too early, or never (R7, R9)."""
 
+    make: typing.Any = None
+
     def owner_after(self, cell, rules=KEYED):
         """Returns the owner of slice 1 after a plan, '' while none is made."""
         record = changes.plan_change(cell.leader, rules, cell.now)
@@ -93,6 +97,8 @@
 class MembersTest(testtools.TestCase):
     """Guards against a record that names the wrong lives of nodes (R5)."""
 
+    make: typing.Any = None
+
     def members_after(self, cell, rules=KEYED):
         changes.plan_change(cell.leader, rules, cell.now)
         if cell.leader.pending is not None:
--- a/packages/ownership/tests/test_configs.py
+++ b/packages/ownership/tests/test_configs.py
@@ -1,6 +1,7 @@
 """Tests of waxwinglever_ownership.configs."""
 
 import json
+import typing
 
 import testtools
 
@@ -10,6 +11,8 @@
 class ConfigsTest(testtools.TestCase):
     """Guards against a configuration that reverts (G10)."""
 
+    make: typing.Any = None
+
     def test_only_a_valid_higher_generation_is_taken(self):
         book = configs.ConfigBook()
         broken = json.loads(self.make.config(9))
--- a/packages/ownership/tests/test_directory.py
+++ b/packages/ownership/tests/test_directory.py
@@ -1,5 +1,7 @@
 """Tests of waxwinglever_ownership.directory."""
 
+import typing
+
 import attrs
 import testtools
 
@@ -10,6 +12,8 @@
 class DirectoryTest(testtools.TestCase):
     """Guards against old lines that replace newer ones."""
 
+    make: typing.Any = None
+
     def test_only_newer_lines_are_taken(self):
         known = directory.Directory()
         line = cells.line_of(self.make.record(), 5)
--- a/packages/ownership/tests/test_elections.py
+++ b/packages/ownership/tests/test_elections.py
@@ -1,5 +1,7 @@
 """Tests of waxwinglever_ownership.elections."""
 
+import typing
+
 import testtools
 
 from waxwinglever_model import limits
@@ -24,6 +26,8 @@
 class ElectionTest(testtools.TestCase):
     """Guards against a minority that deposes a working leader (R10)."""
 
+    make: typing.Any = None
+
     def test_only_a_silent_majority_lets_a_member_stand(self):
         for names, silent, hearing, retired, expected in CASES:
             replies = [
--- a/packages/ownership/tests/test_leadership.py
+++ b/packages/ownership/tests/test_leadership.py
@@ -1,5 +1,7 @@
 """Tests of waxwinglever_ownership.leadership."""
 
+import typing
+
 import attrs
 import testtools
 
@@ -11,6 +13,8 @@
 class AcknowledgementTest(testtools.TestCase):
     """Guards against an acknowledgement that supports too much (R2, R5)."""
 
+    make: typing.Any = None
+
     def test_an_unrecorded_incarnation_never_dates_a_lease(self):
         # With b and c restarted, a alone is no majority.
         cell = self.make.cell()
@@ -83,6 +87,8 @@
 class RejoinTest(testtools.TestCase):
     """Guards against a member that its leader can never reach again."""
 
+    make: typing.Any = None
+
     def test_a_member_that_was_removed_is_heard_after_it_joined_again(self):
         cell = self.make.cell()
         cell.beat(rounds=5)
@@ -99,6 +105,8 @@
 class SuccessionTest(testtools.TestCase):
     """Guards against a successor that gives slices away early (R4, R7)."""
 
+    make: typing.Any = None
+
     def test_recorded_owners_get_leases_at_once(self):
         cell = self.make.cell()
         cell.beat(rounds=3)
@@ -153,6 +161,8 @@
 class PendingChangeTest(testtools.TestCase):
     """Guards against grants that depend on an unconfirmed write (R6, R8)."""
 
+    make: typing.Any = None
+
     def test_only_what_the_record_changes_is_held_back(self):
         cell = self.make.cell()
         cell.beat(rounds=3)
--- a/packages/ownership/tests/test_membership.py
+++ b/packages/ownership/tests/test_membership.py
@@ -1,5 +1,7 @@
 """Tests of waxwinglever_ownership.membership."""
 
+import typing
+
 import attrs
 import testtools
 
@@ -10,6 +12,8 @@
 class HeartbeatTest(testtools.TestCase):
     """Guards against an obsolete heartbeat that changes a member (R1)."""
 
+    make: typing.Any = None
+
     def test_only_a_newer_heartbeat_of_the_same_leader_is_accepted(self):
         cell = self.make.cell()
         cell.beat("b", rounds=2)
@@ -66,6 +70,8 @@
 class HandoverTest(testtools.TestCase):
     """Guards against a handover that cuts off running work (R9)."""
 
+    make: typing.Any = None
+
     def test_a_slice_is_released_once_no_request_of_it_runs(self):
         cell = self.make.cell()
         cell.beat(rounds=3)
@@ -99,6 +105,8 @@
 class DispatchTest(testtools.TestCase):
     """Guards against work without a lease (R12)."""
 
+    make: typing.Any = None
+
     def test_an_ended_or_foreign_lease_dispatches_nothing(self):
         cell = self.make.cell()
         cell.beat(rounds=3)
--- a/packages/ownership/tests/test_records.py
+++ b/packages/ownership/tests/test_records.py
@@ -1,5 +1,7 @@
 """Tests of waxwinglever_ownership.records."""
 
+import typing
+
 import attrs
 import testtools
 
@@ -12,6 +14,8 @@
 class RecordsTest(testtools.TestCase):
     """Guards against a lost answer that is taken for a conflict (R8)."""
 
+    make: typing.Any = None
+
     def test_a_repeated_write_is_settled_by_its_nonce(self):
         state = store.new_store()
         calls = memory.memory_store(state)
