--- a/packages/ownership/tests/test_node.py
+++ b/packages/ownership/tests/test_node.py
@@ -59,6 +59,7 @@
         return made
 
     def heard(self, made, **changes):
+        """Lets a node get a heartbeat of leader b."""
         heartbeat = messages.Heartbeat(
             "t/s/0",
             1,
