Let the requests that run finish before the daemon stops

Cause: a drain ended when the node had left its cell. Ruled out: a longer shutdown of the HTTP server (it also waits for idle connections). Change: the drain waits, within its time limit, until no request runs on the backend server or waits for it. Before: test_a_drain_waits_for_the_requests_that_run failed, 1 in flight; after: passes.

--- a/packages/daemon/src/waxwinglever_daemon/assembly.py
+++ b/packages/daemon/src/waxwinglever_daemon/assembly.py
@@ -30,6 +30,7 @@
 
 QUEUE_LIMIT = 200
 WATCH_INTERVAL_S = 0.25
+DRAIN_INTERVAL_S = 0.05
 # Until a configuration names the service, a new server gets this little.
 DEFAULT_COLD_SLOTS = 2
 DEFAULT_COLD_S = 10.0
@@ -319,7 +320,21 @@
     site.closing = True
     if site.node is None:
         return True
-    return ownership_node.leave(site.node, daemon.settings.drain_timeout_s)
+    timeout_s = daemon.settings.drain_timeout_s
+    deadline = site.now() + timeout_s
+    has_left = ownership_node.leave(site.node, timeout_s)
+    # A service without keys has no slices whose handover waits for requests.
+    while is_busy(site) and site.now() < deadline:
+        site.stopping.wait(DRAIN_INTERVAL_S)
+    return has_left
+
+
+def is_busy(site: sites.Site) -> bool:
+    """Returns whether requests run on the backend server or wait for it."""
+    if site.local is None:
+        return False
+    snapshot = gate.snapshot(site.local.gate)
+    return bool(snapshot.in_flight or snapshot.waiting)
 
 
 def close(daemon: Daemon) -> None:
--- a/packages/daemon/tests/test_assembly.py
+++ b/packages/daemon/tests/test_assembly.py
@@ -1,5 +1,6 @@
 """Tests of waxwinglever_daemon.assembly."""
 
+import threading
 import typing
 from unittest import mock
 
@@ -134,6 +135,28 @@
             self.site.now() + 30,
         )
 
+    def test_a_drain_waits_for_the_requests_that_run(self):
+        self.announce()
+        gated = self.site.local.gate
+        work = gate.Work("default", self.site.now() + 60, "f")
+        running, free = threading.Event(), threading.Event()
+
+        def run():
+            with gate.admit(gated, work, lambda: None):
+                running.set()
+                free.wait(30)
+
+        thread = threading.Thread(target=run)
+        thread.start()
+        running.wait(30)
+        self.patch(ownership_node, "leave", lambda *_: True)
+        self.patch(self.site.stopping, "wait", lambda _: free.set())
+        self.assertTrue(assembly.drain(self.daemon))
+        in_flight = gate.snapshot(gated).in_flight
+        free.set()
+        thread.join()
+        self.assertEqual(0, in_flight)
+
     def test_a_drain_without_a_cell_ends_at_once(self):
         self.assertTrue(assembly.drain(self.daemon))
         self.assertTrue(self.site.closing)
