--- a/packages/peers/src/waxwinglever_peers/links.py
+++ b/packages/peers/src/waxwinglever_peers/links.py
@@ -82,10 +82,10 @@
             data = codec.encode(message)
             link.socket.send(data)
             count.sent_bytes += len(data)
-            data = link.socket.recv()
+            data = receive(link.socket)
             count.received_bytes += len(data)
             return codec.decode(data)
-        except pynng.NNGException as error:
+        except (pynng.NNGException, exceptions.InvalidInput) as error:
             raise unavailable(address, str(error)) from error
         finally:
             link.lock.release()
@@ -99,6 +99,11 @@
     return PeerCalls(call, close)
 
 
+def receive(socket: pynng.Socket) -> bytes:
+    """Returns the next message; recv() raises RuntimeError for an empty one."""
+    return socket.recv_msg().bytes
+
+
 def unavailable(address: str, why: str) -> exceptions.PeerUnavailable:
     """Returns the error for a daemon that did not answer."""
     return exceptions.PeerUnavailable(
@@ -164,7 +169,7 @@
     def run() -> None:
         while True:
             try:
-                data = socket.recv()
+                data = receive(socket)
                 count.received_bytes += len(data)
                 data = answer(data)
                 count.sent_bytes += len(data)
