Tell a lease that ends now from a request whose time is over

A request whose lease had under 1 ms left was refused as overloaded, which the first daemon does not try again; it is not-owner now. First tries of hedged requests no longer share 16 threads. The owner page decodes a key as the header is decoded. Found by reading.

--- a/packages/daemon/tests/test_assembly.py
+++ b/packages/daemon/tests/test_assembly.py
@@ -15,7 +15,6 @@
 from waxwinglever_ownership import handlers
 from waxwinglever_ownership import lifecycle
 from waxwinglever_ownership import configs
-from waxwinglever_ownership import node as ownership_node
 from waxwinglever_peers import messages
 
 
--- a/packages/front/src/waxwinglever_front/dispatch.py
+++ b/packages/front/src/waxwinglever_front/dispatch.py
@@ -184,6 +184,8 @@
             lease.item.start, lease.item.epoch, int(lease.until * 1e9)
         )
     timeout_ms = int((end_s - site.now()) * 1000)
+    if timeout_ms < 1 and end_s < request.deadline_s:
+        raise membership.not_owner(site.node.state)
     if timeout_ms < 1:
         raise exceptions.Overloaded(
             "the time for this request is over",
--- a/packages/front/src/waxwinglever_front/pages.py
+++ b/packages/front/src/waxwinglever_front/pages.py
@@ -85,7 +85,9 @@
             path="/",
             headers=(),
             body=b"",
-            key=key,
+            # The key comes in a header otherwise, which HTTP libraries decode
+            # as Latin-1.
+            key=key.encode("utf-8").decode("latin-1"),
             request_class="",
             deadline_s=self.site.now(),
         )
--- a/packages/front/src/waxwinglever_front/site.py
+++ b/packages/front/src/waxwinglever_front/site.py
@@ -31,7 +31,9 @@
 DEFAULT_HELD = 24
 # Timeouts in a row after which the backend server counts as frozen.
 FROZEN_AFTER_TIMEOUTS = 3
-HEDGE_THREADS = 16
+# First tries of requests that may be hedged run here too, so that they need
+# as many threads as there are connections at a time.
+HEDGE_THREADS = 64
 
 
 @attrs.define(eq=False)
--- a/packages/ownership/src/waxwinglever_ownership/membership.py
+++ b/packages/ownership/src/waxwinglever_ownership/membership.py
@@ -243,15 +243,20 @@
     with state.lock:
         lease = lease_at(state, point)
         if lease is None or lease.until <= now or not lease.accepting:
-            raise exceptions.NotOwner(
-                f"node {state.node} holds no lease on this key",
-                "send the request to the owner that the answer names",
-                retry_after_ms=int(limits.HEARTBEAT_INTERVAL_S * 1000),
-            )
+            raise not_owner(state)
         state.in_flight[point] += 1
         return lease
 
 
+def not_owner(state: MemberState) -> exceptions.NotOwner:
+    """Returns the refusal of a request for a key without a lease here."""
+    return exceptions.NotOwner(
+        f"node {state.node} holds no lease on this key",
+        "send the request again; the answer names the owner if one is known",
+        retry_after_ms=int(limits.HEARTBEAT_INTERVAL_S * 1000),
+    )
+
+
 def finish(state: MemberState, point: int) -> None:
     """Counts a request as finished."""
     with state.lock:
--- a/packages/ownership/tests/test_changes.py
+++ b/packages/ownership/tests/test_changes.py
@@ -156,7 +156,7 @@
         self.assertEqual([{"a"}, {"a"}], [cell.holders(i) for i in range(2)])
 
 
-class MembersTest(testtools.TestCase):
+class JoinTest(testtools.TestCase):
     """Guards against members that are recorded and removed in turn."""
 
     make: typing.Any = None
