--- a/packages/bench/src/waxwinglever_bench/fleet.py
+++ b/packages/bench/src/waxwinglever_bench/fleet.py
@@ -73,6 +73,7 @@
       vms: By node name.
       processes: By `daemon/<node>`, `backend/<node>` or `store`.
       backend_options: Further options of the stand-in backend servers.
+      store_host: Loopback address of the store.
       http: Pool for the bench's own requests.
     """
 
@@ -80,11 +81,12 @@
     vms: dict[str, Vm]
     processes: dict[str, subprocess.Popen] = attrs.Factory(dict)
     backend_options: tuple[str, ...] = ()
+    store_host: str = STORE_HOST
     http: urllib3.PoolManager = attrs.field(factory=new_pool)
 
     @property
     def store_address(self) -> str:
-        return f"{STORE_HOST}:{STORE_PORT}"
+        return f"{self.store_host}:{STORE_PORT}"
 
 
 def make_vms(
@@ -163,11 +165,15 @@
     folder: pathlib.Path,
     vms: Iterable[Vm],
     backend_options: tuple[str, ...] = (),
+    store_host: str = STORE_HOST,
 ) -> Iterator[Fleet]:
     """Yields a fleet with its store started, and ends all its processes."""
     folder.mkdir(parents=True, exist_ok=True)
     fleet = Fleet(
-        folder, {vm.name: vm for vm in vms}, backend_options=backend_options
+        folder,
+        {vm.name: vm for vm in vms},
+        backend_options=backend_options,
+        store_host=store_host,
     )
     try:
         start_store(fleet)
@@ -345,6 +351,37 @@
     )
 
 
+def set_delays(fleet: Fleet, name: str, delays_ms: dict[str, float]) -> None:
+    """Sets the one-way latency of a daemon's calls, by address."""
+    fleet.http.request(
+        "PUT",
+        f"http://{fleet.vms[name].http_address}/faults/",
+        json={"delays_ms": delays_ms},
+        timeout=2.0,
+    )
+
+
+def set_backend_faults(fleet: Fleet, name: str, **faults) -> None:
+    """Sets the fault switches of a VM's stand-in backend server."""
+    fleet.http.request(
+        "PUT",
+        f"http://{fleet.vms[name].backend_address}/_backend/faults",
+        json=faults,
+        timeout=2.0,
+    )
+
+
+def executions(fleet: Fleet, name: str) -> list[dict]:
+    """Returns the execution log of a VM's backend server."""
+    answer = fleet.http.request(
+        "GET",
+        f"http://{fleet.vms[name].backend_address}/_backend/log",
+        timeout=5.0,
+    )
+    log = answer.json()
+    return log["executions"] + log["running"]
+
+
 def tool(fleet: Fleet, *arguments: str) -> subprocess.CompletedProcess:
     """Runs the command-line tool against the fleet's store."""
     return subprocess.run(
--- /dev/null
+++ b/packages/bench/src/waxwinglever_bench/latency.py
@@ -0,0 +1,187 @@
+"""Experiments on latency: the bound, load levels, stragglers, overhead."""
+
+import attrs
+
+from waxwinglever_bench import callers
+from waxwinglever_bench import fleet as fleets
+from waxwinglever_bench import load
+from waxwinglever_bench import scenes
+from waxwinglever_model import clock
+
+# Target of the design for the 99th percentile.
+P99_BOUND_MS = 14.0
+# Rates that one machine bears beside the senders, far below the slots.
+BOUND_RATE_PER_S = 150.0
+BOUND_SECONDS = 12.0
+LEVELS_PERCENT = (50, 80, 120)
+LEVEL_SECONDS = 7.0
+STRAGGLER_FACTOR = 5.0
+STRAGGLER_SHARE = 0.4
+STRAGGLER_SECONDS = 7.0
+# Samples before this are left out: the daemons have to observe first.
+STRAGGLER_WARM_UP_S = 2.0
+OVERHEAD_REQUESTS = 300
+FULL_LOAD_PER_S = 1500.0
+FULL_LOAD_SECONDS = 3.0
+
+
+def add_summary(
+    scene: scenes.Scene,
+    prefix: str,
+    summary: load.Summary,
+    p99_bound_ms: float | None = None,
+) -> None:
+    """Adds the figures of a run of load."""
+    scene.add(f"{prefix}_requests_count", summary.count)
+    scene.add(f"{prefix}_errors_count", summary.errors)
+    wrong = summary.kinds.get(load.WRONG, 0)
+    scene.add(f"{prefix}_wrong_replies_count", wrong, 0)
+    scene.add(f"{prefix}_p50_ms", summary.p50_ms)
+    scene.add(f"{prefix}_p99_ms", summary.p99_ms, p99_bound_ms)
+    scene.add(f"{prefix}_p999_ms", summary.p999_ms)
+    scene.add(f"{prefix}_worst_10s_p99_ms", summary.worst_10s_p99_ms)
+    scene.add(f"{prefix}_sent_late_p99_ms", summary.sent_late_p99_ms)
+
+
+def bound(scene: scenes.Scene) -> None:
+    """Measures latency at a rate that the machine bears."""
+    scene.add("latency_service_time_ms", scene.setup.service_ms)
+    scene.add("latency_rate_per_s", BOUND_RATE_PER_S)
+    for service in (scene.tenant.keyed, scene.tenant.unkeyed):
+        plan = scene.plan(service, BOUND_RATE_PER_S, BOUND_SECONDS)
+        summary = load.summarize(load.run(scene.executor, plan).samples)
+        add_summary(scene, f"latency_{service}", summary, P99_BOUND_MS)
+
+
+def capacity_per_s(scene: scenes.Scene, service: str) -> float:
+    """Returns slots over service time, for all instances of a service."""
+    count = len(scene.nodes_of(service))
+    return count * scenes.SLOTS / (scene.setup.service_ms / 1000)
+
+
+def levels(scene: scenes.Scene) -> None:
+    """Loads both services with shares of the fleet's capacity."""
+    scene.add("levels_service_time_ms", scene.setup.service_ms)
+    services = (scene.tenant.keyed, scene.tenant.unkeyed)
+    for percent in LEVELS_PERCENT:
+        runs = {}
+        for service in services:
+            rate = capacity_per_s(scene, service) * percent / 100
+            plan = scene.plan(service, rate, LEVEL_SECONDS, threads=160)
+            # Two processes for each service leave processors to the fleet.
+            runs[service] = load.begin(scene.executor, plan, processes=2)
+            scene.add(f"level_{percent}_{service}_rate_per_s", rate)
+        for service, running in runs.items():
+            result = load.collect(running)
+            summary = load.summarize(result.samples)
+            add_summary(scene, f"level_{percent}_{service}", summary)
+            right = summary.kinds.get(load.RIGHT, 0)
+            scene.add(
+                f"level_{percent}_{service}_served_per_s",
+                right / LEVEL_SECONDS,
+            )
+
+
+def stragglers(scene: scenes.Scene) -> None:
+    """Compares the product with baselines while servers are slow."""
+    service = scene.tenant.unkeyed
+    names = scene.unkeyed
+    rate = capacity_per_s(scene, service) * STRAGGLER_SHARE
+    scene.add("stragglers_service_time_ms", scene.setup.service_ms)
+    scene.add("stragglers_rate_per_s", rate)
+    plan = scene.plan(
+        service,
+        rate,
+        STRAGGLER_SECONDS,
+        safe_share=1.0,
+        backends=tuple(scene.fleet.vms[n].backend_address for n in names),
+    )
+    # POST requests are never hedged.
+    policies = {
+        "product": plan,
+        "no_hedging": attrs.evolve(plan, safe_share=0.0),
+        "round_robin": attrs.evolve(plan, policy=load.ROUND_ROBIN),
+        "least_reported": attrs.evolve(plan, policy=load.LEAST_REPORTED),
+    }
+    for policy, each in policies.items():
+        usual_ms = None
+        for slow in (0, 1, 2):
+            set_slow(scene, names, slow)
+            result = load.run(scene.executor, each)
+            late = [
+                sample
+                for sample in result.samples
+                if sample.at_s >= STRAGGLER_WARM_UP_S
+            ]
+            summary = load.summarize(late)
+            usual_ms = summary.p99_ms if usual_ms is None else usual_ms
+            is_bound = policy == "product" and slow == 1
+            limit_ms = 2 * usual_ms if is_bound else None
+            prefix = f"stragglers_{policy}_{slow}_slow"
+            scene.add(f"{prefix}_p50_ms", summary.p50_ms)
+            scene.add(f"{prefix}_p99_ms", summary.p99_ms, limit_ms)
+            scene.add(f"{prefix}_errors_count", summary.errors)
+    set_slow(scene, names, 0)
+
+
+def set_slow(scene: scenes.Scene, names: list[str], slow: int) -> None:
+    """Slows the first servers down and lets the others run as usual."""
+    for index, name in enumerate(names):
+        factor = STRAGGLER_FACTOR if index < slow else 1.0
+        fleets.set_backend_faults(scene.fleet, name, slow_factor=factor)
+
+
+def overhead(scene: scenes.Scene) -> None:
+    """Measures what daemons add, and one daemon at full load."""
+    owner = scene.keyed[0]
+    zone = scene.fleet.vms[owner].zone
+    # A daemon in the same zone, so that no emulated latency counts.
+    other = next(
+        name for name in scene.keyed[1:] if scene.fleet.vms[name].zone == zone
+    )
+    key = scenes.key_of(scene, owner)
+    backend = scene.fleet.vms[owner].backend_address
+    ways = {
+        "direct": f"http://{backend}",
+        "owner": f"http://{scene.address(owner)}/s/{scene.tenant.name}"
+        f"/{scene.tenant.keyed}",
+        "other": f"http://{scene.address(other)}/s/{scene.tenant.name}"
+        f"/{scene.tenant.keyed}",
+    }
+    figures = {way: sequence(scene, url, key) for way, url in ways.items()}
+    for way in ("owner", "other"):
+        for index, name in enumerate(("p50", "p99")):
+            added_ms = figures[way][index] - figures["direct"][index]
+            scene.add(f"overhead_{way}_added_{name}_ms", added_ms)
+    node = scene.unkeyed[0]
+    plan = scene.plan(
+        scene.tenant.unkeyed,
+        FULL_LOAD_PER_S,
+        FULL_LOAD_SECONDS,
+        addresses=(scene.address(node),),
+        headers=(("Waxwinglever-Hops", "1"), ("Standin-Service-Ms", "0")),
+        # As many requests at once as the server has slots.
+        threads=scenes.SLOTS // 2,
+    )
+    result = load.collect(load.begin(scene.executor, plan, processes=2))
+    served = sum(sample.kind == load.RIGHT for sample in result.samples)
+    end_s = max(sample.at_s + sample.latency_s for sample in result.samples)
+    scene.add("overhead_one_daemon_full_load_per_s", served / end_s)
+
+
+def sequence(scene: scenes.Scene, url: str, key: str) -> list[float]:
+    """Returns p50 and p99 in ms of requests sent one after the other."""
+    latencies = []
+    for number in range(OVERHEAD_REQUESTS):
+        began_s = clock.boottime_s()
+        answer = scene.fleet.http.request(
+            "POST",
+            f"{url}/claims/{number}",
+            body=b"x" * load.BODY_BYTES,
+            headers={callers.KEY: key, "Standin-Service-Ms": "0"},
+        )
+        ended_s = clock.boottime_s()
+        if answer.status != 200:
+            raise RuntimeError(f"{url} answered {answer.status}")
+        latencies.append(ended_s - began_s)
+    return load.percentiles_ms(latencies, (50.0, 99.0))
--- a/packages/bench/src/waxwinglever_bench/main.py
+++ b/packages/bench/src/waxwinglever_bench/main.py
@@ -5,6 +5,7 @@
 
 import click
 
+from waxwinglever_bench import bench as benches
 from waxwinglever_bench import demo as demos
 
 BUILD = pathlib.Path("build")
@@ -22,5 +23,7 @@
     sys.exit(0 if demos.run(BUILD / "demo", seed) else 1)
 
 
+main.add_command(benches.bench)
+
 if __name__ == "__main__":
     main()
--- /dev/null
+++ b/packages/bench/src/waxwinglever_bench/scenes.py
@@ -0,0 +1,310 @@
+"""Emulated tenants on a running fleet, for the experiments."""
+
+import contextlib
+import pathlib
+import time
+from collections.abc import Iterator
+from concurrent import futures
+
+import attrs
+
+from waxwinglever_bench import callers
+from waxwinglever_bench import fleet as fleets
+from waxwinglever_bench import load
+from waxwinglever_bench import results as results_module
+
+# Other uses of the fleet have their own addresses, so that a demo or a soak
+# run beside the bench doesn't meet its processes.
+STORE_HOST = "127.91.0.1"
+SETTLE_TIMEOUT_S = 40.0
+SLOTS = 10
+KEYS = 1000
+
+
+@attrs.frozen
+class Tenant:
+    """An emulated tenant.
+
+    Attributes:
+      name: Name of the tenant.
+      region: Its region.
+      zones: Its zones.
+      keyed: Its service that is divided by key.
+      keyed_count: Instances of that service.
+      unkeyed: Its service without keys.
+      unkeyed_count: Instances of that service.
+      between_zones_ms: One-way latency between zones.
+      to_clients_ms: One-way latency to clients.
+      network: Second byte of its loopback addresses.
+    """
+
+    name: str
+    region: str
+    zones: tuple[str, ...]
+    keyed: str
+    keyed_count: int
+    unkeyed: str
+    unkeyed_count: int
+    between_zones_ms: float
+    to_clients_ms: float
+    network: int
+
+
+TULPAR = Tenant(
+    name="tulpar",
+    region="kz-south",
+    zones=("almaty-a", "almaty-b", "shymkent", "taraz"),
+    keyed="dispatch",
+    keyed_count=6,
+    unkeyed="workshop",
+    unkeyed_count=4,
+    between_zones_ms=1.5,
+    to_clients_ms=1.0,
+    network=31,
+)
+ASSOCIATION = Tenant(
+    name="association",
+    region="addis",
+    zones=("bole", "merkato", "piassa"),
+    keyed="ledger",
+    keyed_count=6,
+    unkeyed="intake",
+    unkeyed_count=3,
+    between_zones_ms=1.0,
+    to_clients_ms=1.0,
+    network=32,
+)
+
+
+@attrs.frozen
+class Setup:
+    """What a fleet is started with.
+
+    Attributes:
+      tenant: The tenant.
+      service_ms: Service time of the stand-in backend servers.
+      cold_start_s: Length of their cold start, in which more than a few
+        orders at once crash them; 0 for none.
+    """
+
+    tenant: Tenant
+    service_ms: float = 5.0
+    cold_start_s: float = 0.0
+
+
+@attrs.define(eq=False)
+class Scene:
+    """A running fleet with what the experiments need.
+
+    Attributes:
+      setup: What it was started with.
+      fleet: The processes.
+      document: The configuration document.
+      executor: Sender processes.
+      results: Where figures go.
+      folder: Where plots go.
+      seed: Seed of the run.
+    """
+
+    setup: Setup
+    fleet: fleets.Fleet
+    document: dict
+    executor: futures.Executor
+    results: results_module.Results
+    folder: pathlib.Path
+    seed: int
+
+    @property
+    def tenant(self) -> Tenant:
+        return self.setup.tenant
+
+    @property
+    def keyed(self) -> list[str]:
+        """Names of the nodes of the keyed service."""
+        return self.nodes_of(self.tenant.keyed)
+
+    @property
+    def unkeyed(self) -> list[str]:
+        """Names of the nodes of the service without keys."""
+        return self.nodes_of(self.tenant.unkeyed)
+
+    def nodes_of(self, service: str) -> list[str]:
+        """Returns the names of a service's nodes."""
+        vms = self.fleet.vms
+        return [name for name, vm in vms.items() if vm.service == service]
+
+    def address(self, name: str) -> str:
+        """Returns the http address of a node."""
+        return self.fleet.vms[name].http_address
+
+    def plan(self, service: str, rate: float, seconds: float, **more):
+        """Returns a plan of load on a service, sent to all its daemons."""
+        names = self.nodes_of(service)
+        values = {
+            "addresses": tuple(self.address(name) for name in names),
+            "tenant": self.tenant.name,
+            "service": service,
+            "rate_per_s": rate,
+            "seconds": seconds,
+            "seed": self.seed,
+            "keys": KEYS if service == self.tenant.keyed else 0,
+            "client_ms": self.tenant.to_clients_ms,
+        }
+        return load.Plan(**{**values, **more})
+
+    def add(self, key: str, value: float, bound: float | None = None) -> None:
+        """Adds a figure under the tenant's name."""
+        self.results.add(f"{self.tenant.name}_{key}", value, bound)
+
+
+@contextlib.contextmanager
+def running(
+    setup: Setup,
+    executor: futures.Executor,
+    results: results_module.Results,
+    folder: pathlib.Path,
+    seed: int,
+) -> Iterator[Scene]:
+    """Yields a scene whose keys are owned and whose latency is emulated."""
+    tenant = setup.tenant
+    vms = fleets.make_vms(
+        tenant.name,
+        tenant.zones,
+        {
+            tenant.keyed: tenant.keyed_count,
+            tenant.unkeyed: tenant.unkeyed_count,
+        },
+        tenant.network,
+    )
+    options = ["--service-ms", str(setup.service_ms)]
+    if setup.cold_start_s:
+        options += ["--cold-start-s", str(setup.cold_start_s), "--cold-crash"]
+    with fleets.running(
+        folder / "fleet", vms, tuple(options), STORE_HOST
+    ) as fleet:
+        document = fleets.make_document(
+            tenant.name,
+            tenant.region,
+            tenant.zones,
+            [tenant.keyed],
+            [tenant.unkeyed],
+            setup.cold_start_s,
+        )
+        scene = Scene(setup, fleet, document, executor, results, folder, seed)
+        fleets.apply_document(fleet, document)
+        for name in fleet.vms:
+            fleets.start_vm(fleet, name)
+        settle(scene)
+        yield scene
+
+
+def settle(scene: Scene) -> None:
+    """Starts what is missing and waits until all nodes own their share."""
+    fleet = scene.fleet
+    fleets.set_store_faults(fleet, down=False)
+    for name in fleet.vms:
+        restart(scene, name)
+    for name in fleet.vms:
+        fleets.wait_for(
+            lambda name=name: fleets.is_ready(fleet, name),
+            f"daemon {name}",
+            SETTLE_TIMEOUT_S,
+        )
+        emulate_latency(scene, name)
+        fleets.set_backend_faults(fleet, name, slow_factor=1.0)
+    fleets.wait_for(
+        lambda: is_owned(scene), "ownership of all keys", SETTLE_TIMEOUT_S
+    )
+
+
+def restart(scene: Scene, name: str) -> None:
+    """Starts the processes of a VM that don't run."""
+    for kind, start in (
+        ("daemon", fleets.start_daemon),
+        ("backend", fleets.start_backend),
+    ):
+        process = scene.fleet.processes.get(f"{kind}/{name}")
+        if process is None or process.poll() is not None:
+            start(scene.fleet, name)
+
+
+def emulate_latency(scene: Scene, name: str) -> None:
+    """Sets the latency of a daemon's calls to the other zones."""
+    zone = scene.fleet.vms[name].zone
+    far = [vm for vm in scene.fleet.vms.values() if vm.zone != zone]
+    fleets.set_delays(
+        scene.fleet,
+        name,
+        {
+            address: scene.tenant.between_zones_ms
+            for vm in far
+            for address in (vm.http_address, vm.peer_address)
+        },
+    )
+
+
+def is_owned(scene: Scene) -> bool:
+    """Returns whether each slice is leased and each keyed node owns some."""
+    cells = [
+        fleets.status(scene.fleet, name).get("cell") for name in scene.keyed
+    ]
+    if not all(cells):
+        return False
+    owned = [cell["owned"] for cell in cells]
+    return min(owned) > 0 and sum(owned) == cells[0]["slices"]
+
+
+def leader(scene: Scene) -> str:
+    """Returns the node that leads the keyed service's cell.
+
+    Raises:
+      LookupError: No daemon says that it leads.
+    """
+    for name in scene.keyed:
+        cell = fleets.status(scene.fleet, name).get("cell")
+        if cell and cell["is_leader"]:
+            return name
+    raise LookupError("the cell has no leader")
+
+
+def key_of(scene: Scene, owner: str) -> str:
+    """Returns a key that a node owns.
+
+    Raises:
+      LookupError: None was found.
+    """
+    asked = next(name for name in scene.unkeyed if name != owner)
+    for number in range(KEYS):
+        key = f"key-{number}"
+        call = callers.Call(
+            "GET", scene.tenant.name, scene.tenant.keyed, "/probe", key
+        )
+        outcome = callers.send(scene.fleet.http, scene.address(asked), call)
+        if outcome.owner == scene.address(owner):
+            return key
+    raise LookupError(f"node {owner} owns none of {KEYS} keys")
+
+
+def until_served(
+    scene: Scene, asked: str, keys: list[str], timeout_s: float
+) -> float:
+    """Returns the seconds until each key is served, or the timeout."""
+    began = time.monotonic()
+    headers = (("Waxwinglever-Timeout-Ms", "500"),)
+    for key in keys:
+        call = callers.Call(
+            "GET",
+            scene.tenant.name,
+            scene.tenant.keyed,
+            "/probe",
+            key,
+            headers=headers,
+        )
+        while not callers.send(
+            scene.fleet.http, scene.address(asked), call
+        ).is_right:
+            if time.monotonic() - began > timeout_s:
+                return timeout_s
+            # A refused connection answers at once.
+            time.sleep(0.01)
+    return time.monotonic() - began
--- /dev/null
+++ b/packages/bench/tests/test_load.py
@@ -0,0 +1,80 @@
+"""Tests of waxwinglever_bench.load."""
+
+import random
+
+import testtools
+from waxwinglever_bench import callers
+from waxwinglever_bench import load
+
+
+def make_plan(**changed) -> load.Plan:
+    """Returns a plan of a second of load."""
+    values = {
+        "addresses": ("127.0.0.1:1", "127.0.0.2:1"),
+        "tenant": "t",
+        "service": "s",
+        "rate_per_s": 1000.0,
+        "seconds": 1.0,
+    }
+    return load.Plan(**{**values, **changed})
+
+
+def sample(at_s: float, latency_s: float, kind: str = load.RIGHT):
+    """Returns a sample that was sent in time."""
+    return load.Sample(at_s, 0.0, latency_s, kind)
+
+
+class ScheduleTest(testtools.TestCase):
+    """A seed gives the same load again, at the wanted rate."""
+
+    def test_same_seed_same_times(self):
+        plan = make_plan()
+        first = load.send_times(plan, random.Random("1/0"), 2)
+        again = load.send_times(plan, random.Random("1/0"), 2)
+        self.assertEqual(first, again)
+
+    def test_processes_share_the_rate(self):
+        plan = make_plan(seconds=20.0)
+        times = load.send_times(plan, random.Random(1), 4)
+        self.assertTrue(4500 < len(times) < 5500, len(times))
+        self.assertTrue(times == sorted(times) and times[-1] < 20.0)
+
+    def test_requests_are_distinct(self):
+        # A reply to another request would pass as right otherwise.
+        plan = make_plan(safe_share=0.0, keys=10)
+        rng = random.Random(1)
+        calls = [load.make_call(plan, rng, f"1-0-{n}") for n in range(50)]
+        self.assertEqual(50, len({(c.path, c.body) for c in calls}))
+        self.assertTrue(all(call.key for call in calls))
+
+
+class SummaryTest(testtools.TestCase):
+    """Figures count only right replies, and all failures."""
+
+    def test_failures_have_no_latency(self):
+        # Fast refusals must not improve the percentiles.
+        samples = [sample(0.1, 0.02)] * 9 + [sample(0.1, 0.0001, "overloaded")]
+        summary = load.summarize(samples)
+        self.assertEqual(1, summary.errors)
+        self.assertEqual({load.RIGHT: 9, "overloaded": 1}, summary.kinds)
+        self.assertTrue(19.9 < summary.p50_ms < 20.1, summary.p50_ms)
+
+    def test_worst_window_is_found(self):
+        # One bad second of a long run disappears in the total.
+        samples = [sample(n / 100, 0.01) for n in range(10_000)]
+        samples += [sample(50 + n / 100, 0.5) for n in range(60)]
+        summary = load.summarize(samples)
+        self.assertTrue(summary.p99_ms < 11)
+        self.assertTrue(499 < summary.worst_10s_p99_ms < 501)
+
+    def test_no_samples(self):
+        self.assertEqual(0, load.summarize([]).worst_10s_p99_ms)
+
+    def test_wrong_reply_is_not_a_refusal(self):
+        outcome = callers.Outcome(200, "ran", is_right=False)
+        self.assertEqual(load.WRONG, load.kind_of(outcome))
+        self.assertEqual(
+            load.NO_REPLY, load.kind_of(callers.Outcome(0, "none"))
+        )
+        refusal = callers.Outcome(503, "not-run", "draining")
+        self.assertEqual("draining", load.kind_of(refusal))
--- a/packages/daemon/src/waxwinglever_daemon/fault_pages.py
+++ b/packages/daemon/src/waxwinglever_daemon/fault_pages.py
@@ -1,4 +1,4 @@
-"""Page by which failure tests cut this daemon's links."""
+"""Page by which failure tests cut and delay this daemon's links."""
 
 import json
 
@@ -22,9 +22,18 @@
     @cherrypy.tools.allow(methods=["PUT"])
     @cherrypy.tools.json_in()
     def index(self) -> bytes:
-        """Sets the cut links: {"requests": [...], "replies": [...]}."""
+        """Sets the cut links: {"requests": [...], "replies": [...]}.
+
+        `delays_ms` gives a one-way latency by address. The delays stay as
+        they are when it is absent, so that a test can change only the cuts.
+        """
         wanted = cherrypy.request.json
         with self.cuts.lock:
             self.cuts.requests = frozenset(wanted.get("requests", ()))
             self.cuts.replies = frozenset(wanted.get("replies", ()))
+            if "delays_ms" in wanted:
+                self.cuts.delays_ms = {
+                    address: float(delay_ms)
+                    for address, delay_ms in wanted["delays_ms"].items()
+                }
         return json.dumps({"ok": True}).encode("utf-8")
