Limit the requests that a daemon holds, by their origin

At 120% of the slots' capacity all threads of all daemons waited for each other's daemons: forwarded requests timed out in the server's own queue, and callers got no reply or an unknown outcome. Requests over the limits are now refused as not run.

--- a/packages/daemon/src/waxwinglever_daemon/assembly.py
+++ b/packages/daemon/src/waxwinglever_daemon/assembly.py
@@ -12,6 +12,7 @@
 from waxwinglever_front import announcements
 from waxwinglever_front import crashes
 from waxwinglever_front import forward
+from waxwinglever_front import places
 from waxwinglever_front import site as sites
 from waxwinglever_front import status
 from waxwinglever_model import cells
@@ -81,6 +82,7 @@
         forward=faults.cut_forward(forward.http_forward(host), cuts),
         metrics=metrics.Metrics(),
         log=log.info,
+        places=places.for_threads(settings.http_threads),
     )
     daemon = Daemon(
         settings=settings,
--- a/packages/front/src/waxwinglever_front/application.py
+++ b/packages/front/src/waxwinglever_front/application.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from waxwinglever_front import exchange
+from waxwinglever_front import places
 from waxwinglever_front import router
 from waxwinglever_front import site as sites
 from waxwinglever_front import wire
@@ -25,7 +26,8 @@
         request = None
         try:
             request = wire.parse_request(environ, timeout_ms)
-            reply = router.route(site, request)
+            with places.taken(site.places, is_forwarded=request.hops > 0):
+                reply = router.route(site, request)
         except exceptions.Refusal as error:
             reply = wire.refusal_reply(error)
         except Exception as error:  # pylint: disable=broad-exception-caught
--- a/packages/front/src/waxwinglever_front/site.py
+++ b/packages/front/src/waxwinglever_front/site.py
@@ -10,6 +10,7 @@
 from waxwinglever_admission import outcomes
 from waxwinglever_backend import calls as backend_calls
 from waxwinglever_front import exchange
+from waxwinglever_front import places as places_module
 from waxwinglever_model import cells
 from waxwinglever_model import clock
 from waxwinglever_ownership import configs
@@ -31,6 +32,8 @@
 # Requests of one daemon that wait for a slice under handover.
 MAX_HELD = 200
 HEDGE_THREADS = 16
+# The default of the setting http_threads.
+DEFAULT_THREADS = 64
 
 
 @attrs.define(eq=False)
@@ -81,6 +84,7 @@
       hedgers: Threads that run hedged tries.
       heat: Request rates and frequent keys of this node's slices.
       held: Places for requests that wait for a slice under handover.
+      places: Places for requests that this daemon holds.
       closing: Whether the daemon takes no new work for its backend server.
       stopping: Set when the daemon's threads must end.
       lock: Guards node, local and balancers.
@@ -111,6 +115,9 @@
     held: threading.BoundedSemaphore = attrs.Factory(
         lambda: threading.BoundedSemaphore(MAX_HELD)
     )
+    places: places_module.Places = attrs.Factory(
+        lambda: places_module.for_threads(DEFAULT_THREADS)
+    )
     closing: bool = False
     stopping: threading.Event = attrs.Factory(threading.Event)
     lock: threading.Lock = attrs.Factory(threading.Lock)
