--- a/packages/bench/src/waxwinglever_bench/fleet.py
+++ b/packages/bench/src/waxwinglever_bench/fleet.py
@@ -351,6 +351,37 @@
     )
 
 
+def set_delays(fleet: Fleet, name: str, delays_ms: dict[str, float]) -> None:
+    """Sets the one-way latency of a daemon's calls, by address."""
+    fleet.http.request(
+        "PUT",
+        f"http://{fleet.vms[name].http_address}/faults/",
+        json={"delays_ms": delays_ms},
+        timeout=2.0,
+    )
+
+
+def set_backend_faults(fleet: Fleet, name: str, **faults) -> None:
+    """Sets the fault switches of a VM's stand-in backend server."""
+    fleet.http.request(
+        "PUT",
+        f"http://{fleet.vms[name].backend_address}/_backend/faults",
+        json=faults,
+        timeout=2.0,
+    )
+
+
+def executions(fleet: Fleet, name: str) -> list[dict]:
+    """Returns the execution log of a VM's backend server."""
+    answer = fleet.http.request(
+        "GET",
+        f"http://{fleet.vms[name].backend_address}/_backend/log",
+        timeout=5.0,
+    )
+    log = answer.json()
+    return log["executions"] + log["running"]
+
+
 def tool(fleet: Fleet, *arguments: str) -> subprocess.CompletedProcess:
     """Runs the command-line tool against the fleet's store."""
     return subprocess.run(
--- a/packages/bench/src/waxwinglever_bench/main.py
+++ b/packages/bench/src/waxwinglever_bench/main.py
@@ -5,6 +5,7 @@
 
 import click
 
+from waxwinglever_bench import bench as benches
 from waxwinglever_bench import demo as demos
 from waxwinglever_bench import explore_command
 from waxwinglever_bench import slopes as slopes_module
@@ -47,7 +48,7 @@
 
 main.add_command(explore_command.explore)
 main.add_command(soak.soak)
-
+main.add_command(benches.bench)
 
 if __name__ == "__main__":
     main()
--- a/packages/daemon/src/waxwinglever_daemon/assembly.py
+++ b/packages/daemon/src/waxwinglever_daemon/assembly.py
@@ -12,6 +12,7 @@
 from waxwinglever_front import announcements
 from waxwinglever_front import crashes
 from waxwinglever_front import forward
+from waxwinglever_front import places
 from waxwinglever_front import site as sites
 from waxwinglever_front import status
 from waxwinglever_model import cells
@@ -30,13 +31,6 @@
 from waxwinglever_telemetry import logs
 from waxwinglever_telemetry import metrics
 
-# Shares of the daemon's threads that may wait at the gate, for a slice under
-# handover, for all other daemons, and for one of them. The rest runs requests
-# and answers announcements, whatever waits.
-QUEUE_SHARE = 0.25
-HELD_SHARE = 0.18
-FORWARD_SHARE = 0.36
-FORWARD_EACH_SHARE = 0.12
 WATCH_INTERVAL_S = 0.25
 DRAIN_INTERVAL_S = 0.05
 # Until a configuration names the service, a new server gets this little.
@@ -75,11 +69,7 @@
     """
     cuts = faults.Cuts()
     traffic = links.Traffic()
-    threads = settings.http_threads
-    places = forward.Places(
-        most=int(threads * FORWARD_SHARE),
-        most_each=int(threads * FORWARD_EACH_SHARE),
-    )
+    held = places.for_threads(settings.http_threads)
     host = settings.http_address.rpartition(":")[0]
     log = logs.logger()
     site = sites.Site(
@@ -93,12 +83,13 @@
         book=configs.ConfigBook(),
         lines=directory.Directory(),
         peers=faults.cut_calls(links.pynng_calls(traffic), cuts),
-        forward=faults.cut_forward(forward.http_forward(host, places), cuts),
+        forward=faults.cut_forward(
+            forward.http_forward(host, held.links), cuts
+        ),
         metrics=metrics.Metrics(),
         log=log.info,
         traffic=traffic,
-        held=threading.BoundedSemaphore(int(threads * HELD_SHARE)),
-        queue_limit=int(threads * QUEUE_SHARE),
+        places=held,
     )
     daemon = Daemon(
         settings=settings,
@@ -261,7 +252,7 @@
     Until a configuration names the service, the default cold start applies.
     """
     service = configs.service_of(site.book, node.tenant, node.service)
-    queue_limit = site.queue_limit
+    queue_limit = site.places.queue_limit
     if service is None:
         return gate.Policy(
             slots=slots,
--- a/packages/front/src/waxwinglever_front/forward.py
+++ b/packages/front/src/waxwinglever_front/forward.py
@@ -1,15 +1,11 @@
 """Sends a request to the daemon that owns its key."""
 
-import contextlib
-import threading
-from collections import Counter
 from collections.abc import Callable
-from collections.abc import Iterator
 
-import attrs
 import urllib3
 
 from waxwinglever_front import exchange
+from waxwinglever_front import places
 from waxwinglever_front import wire
 from waxwinglever_model import clock
 from waxwinglever_model import exceptions
@@ -21,60 +17,14 @@
 DAEMONS = 256
 
 
-@attrs.define(eq=False)
-class Places:
-    """Bounds the requests that wait for other daemons.
-
-    Without them the threads of this daemon would all wait for one daemon that
-    is frozen, and its own backend server could not even announce itself.
-
-    Attributes:
-      most: Requests that may wait in all.
-      most_each: Requests that may wait for one daemon.
-      waiting: Requests that wait, by address.
-      lock: Guards `waiting`.
-    """
-
-    most: int
-    most_each: int
-    waiting: Counter[str] = attrs.Factory(Counter)
-    lock: threading.Lock = attrs.Factory(threading.Lock)
-
-
-@contextlib.contextmanager
-def place(places: Places, address: str) -> Iterator[None]:
-    """Holds a place while a request waits for the daemon at an address.
-
-    Raises:
-      Overloaded: All places, or those for this daemon, are taken.
-    """
-    with places.lock:
-        is_full = places.waiting.total() >= places.most
-        if is_full or places.waiting[address] >= places.most_each:
-            raise exceptions.Overloaded(
-                f"too many requests wait for other daemons, {address} among"
-                " them",
-                "send the request again later, or to its owner",
-                retry_after_ms=500,
-            )
-        places.waiting[address] += 1
-    try:
-        yield
-    finally:
-        with places.lock:
-            places.waiting[address] -= 1
-            if not places.waiting[address]:
-                del places.waiting[address]
-
-
 def http_forward(
-    source_address: str, places: Places
+    source_address: str, links: places.Links
 ) -> Callable[[str, exchange.Request], exchange.Reply]:
     """Returns a function that sends a request to another daemon.
 
     Args:
       source_address: Local IP to connect from.
-      places: Bounds the requests that wait.
+      links: Bounds the requests that wait for one daemon.
     """
     pools = urllib3.PoolManager(
         num_pools=DAEMONS,
@@ -103,7 +53,7 @@
         try:
             # PoolManager.request would resolve dot segments in the path.
             pool = pools.connection_from_host(host.strip("[]"), int(port))
-            with place(places, address):
+            with places.link(links, address):
                 response = pool.request(
                     request.method,
                     target,
--- a/packages/front/src/waxwinglever_front/router.py
+++ b/packages/front/src/waxwinglever_front/router.py
@@ -62,13 +62,13 @@
             if not may_try_again(site, request, reply):
                 return reply
             if not is_held:
-                is_held = site.held.acquire(blocking=False)
+                is_held = site.places.held.acquire(blocking=False)
                 if not is_held:
                     return reply
             wait_for_map(site, request, target)
     finally:
         if is_held:
-            site.held.release()
+            site.places.held.release()
 
 
 def try_owner(
@@ -173,7 +173,7 @@
     """
     if targets.known_records(site, request):
         return
-    if not site.held.acquire(blocking=False):
+    if not site.places.held.acquire(blocking=False):
         return
     try:
         while request.deadline_s - site.now() > HOLD_S + LEAST_TRY_S:
@@ -181,7 +181,7 @@
                 return
             site.stopping.wait(HOLD_S)
     finally:
-        site.held.release()
+        site.places.held.release()
 
 
 def try_any(
--- a/packages/front/src/waxwinglever_front/site.py
+++ b/packages/front/src/waxwinglever_front/site.py
@@ -10,6 +10,7 @@
 from waxwinglever_admission import outcomes
 from waxwinglever_backend import calls as backend_calls
 from waxwinglever_front import exchange
+from waxwinglever_front import places as places_module
 from waxwinglever_model import cells
 from waxwinglever_model import clock
 from waxwinglever_ownership import configs
@@ -26,14 +27,13 @@
 RETRY_BURST = 10
 HEDGE_RATIO = 0.05
 HEDGE_BURST = 5
-# Requests that wait for a slice under handover, unless the daemon sets another
-# bound from its number of threads.
-DEFAULT_HELD = 24
 # Timeouts in a row after which the backend server counts as frozen.
 FROZEN_AFTER_TIMEOUTS = 3
 # First tries of requests that may be hedged run here too, so that they need
 # as many threads as there are connections at a time.
 HEDGE_THREADS = 64
+# The default of the setting http_threads.
+DEFAULT_THREADS = 128
 
 
 @attrs.define(eq=False)
@@ -84,8 +84,7 @@
       hedges: Budget of hedged requests.
       hedgers: Threads that run hedged tries.
       heat: Request rates and frequent keys of this node's slices.
-      held: Places for requests that wait for a slice under handover.
-      queue_limit: Requests that may wait at the gate.
+      places: Places for requests that this daemon holds.
       closing: Whether the daemon takes no new work for its backend server.
       stopping: Set when the daemon's threads must end.
       lock: Guards node, local and balancers.
@@ -114,10 +113,9 @@
         lambda: futures.ThreadPoolExecutor(HEDGE_THREADS, "hedge")
     )
     heat: hotkeys.HotKeys = attrs.Factory(hotkeys.HotKeys)
-    held: threading.BoundedSemaphore = attrs.Factory(
-        lambda: threading.BoundedSemaphore(DEFAULT_HELD)
+    places: places_module.Places = attrs.Factory(
+        lambda: places_module.for_threads(DEFAULT_THREADS)
     )
-    queue_limit: int = 32
     closing: bool = False
     stopping: threading.Event = attrs.Factory(threading.Event)
     lock: threading.Lock = attrs.Factory(threading.Lock)
