--- a/packages/bench/src/waxwinglever_bench/schedule.py
+++ b/packages/bench/src/waxwinglever_bench/schedule.py
@@ -15,6 +15,9 @@
 SHORTEST_S = 0.3
 LONGEST_S = 6.0
 COMPANION_SHARE = 0.3
+# Faults that hit the leader of the keyed cell, whichever node that is. One
+# node in nine leads, and most rules concern a leader that was lost.
+LEADER_SHARE = 0.35
 
 KILL_DAEMON = "kill-daemon"
 KILL_BACKEND = "kill-backend"
@@ -67,6 +70,7 @@
       other: A second VM, for cuts.
       length_s: How long it lasts.
       value: In [0, 1); varies the fault.
+      hits_leader: Whether it hits the present leader instead of `node`.
     """
 
     number: int
@@ -76,6 +80,7 @@
     other: str
     length_s: float
     value: float
+    hits_leader: bool = False
 
 
 def make_schedule(
@@ -105,7 +110,10 @@
     schedule = []
     for number, (at_s, kind, length_s) in enumerate(planned):
         node, other = rng.sample(list(nodes), 2)
+        value, is_for_leader = rng.random(), rng.random() < LEADER_SHARE
         schedule.append(
-            Fault(number, at_s, kind, node, other, length_s, rng.random())
+            Fault(
+                number, at_s, kind, node, other, length_s, value, is_for_leader
+            )
         )
     return schedule
--- a/packages/bench/src/waxwinglever_bench/soak.py
+++ b/packages/bench/src/waxwinglever_bench/soak.py
@@ -193,6 +193,10 @@
 ) -> None:
     """Injects one fault and returns when it has ended."""
     ground = watch.ground
+    leader = watching.leader_of(watch, KEYED)
+    if fault.hits_leader and leader not in (None, fault.other):
+        ground.counts["on the leader"] += 1
+        fault = attrs.evolve(fault, node=leader)
     match fault.kind:
         case schedule.KILL_DAEMON | schedule.KILL_BACKEND | schedule.KILL_VM:
             injection.kill_and_restart(
--- a/packages/bench/src/waxwinglever_bench/watching.py
+++ b/packages/bench/src/waxwinglever_bench/watching.py
@@ -31,6 +31,7 @@
       executions: By life and call id.
       running: Executions of the present life that had not ended.
       samples: Status of the daemon.
+      leads: Whether the daemon led its cell when it was asked last.
       lost_s: Time before kills and crashes of which the log is lost, in all.
     """
 
@@ -40,6 +41,7 @@
     executions: dict[tuple[str, str], audit.Execution] = attrs.Factory(dict)
     running: set[tuple[str, str]] = attrs.Factory(set)
     samples: list[audit.Sample] = attrs.Factory(list)
+    leads: bool = False
     lost_s: float = 0.0
     lock: threading.Lock = attrs.Factory(threading.Lock)
 
@@ -78,6 +80,7 @@
         status = fleets.status(watch.ground.fleet, node)
     except ValueError:
         status = {}
+    watch.vms[node].leads = bool((status.get("cell") or {}).get("is_leader"))
     if status:
         tenant = watch.ground.fleet.vms[node].tenant
         watch.vms[node].samples.append(
@@ -172,6 +175,14 @@
             injection.lose_backend(ground, node, crashed_s)
 
 
+def leader_of(watch: Watch, service: str) -> str | None:
+    """Returns a node that led the cell of a service of late, or None."""
+    for node, collected in watch.vms.items():
+        if watch.ground.fleet.vms[node].service == service and collected.leads:
+            return node
+    return None
+
+
 def executions(watch: Watch) -> list[audit.Execution]:
     """Returns all executions that were collected."""
     return [
