--- a/packages/bench/src/waxwinglever_bench/load.py
+++ b/packages/bench/src/waxwinglever_bench/load.py
@@ -60,6 +60,8 @@
         daemon that runs the request itself.
       backends: Addresses of the backend servers, in the order of the
         daemons; only for LEAST_REPORTED.
+      follows_owner: Whether a caller sends the next request for a key to the
+        owner that the last reply for it named.
       headers: Further request headers.
       threads: Threads of each sender process.
     """
@@ -76,6 +78,7 @@
     client_ms: float = 1.0
     policy: str = RANDOM
     backends: tuple[str, ...] = ()
+    follows_owner: bool = False
     headers: tuple[tuple[str, str], ...] = ()
     threads: int = THREADS
 
@@ -220,6 +223,7 @@
     work = iter(enumerate(send_times(plan, rng, processes)))
     lock = threading.Lock()
     samples: list[Sample] = []
+    owners: dict[str, str] = {}
 
     def send_next() -> bool:
         with lock:
@@ -229,11 +233,14 @@
             call = make_call(plan, rng, f"{plan.seed}-{index}-{number}")
         call = attrs.evolve(call, headers=(*call.headers, *headers))
         time.sleep(max(0.0, began_s + at_s - clock.boottime_s()))
+        address = owners.get(call.key) or choose()
         late_s = clock.boottime_s() - began_s - at_s
         outcome = callers.send(
-            pool, choose(), call, timeout_s=plan.timeout_ms / 1000 + 1
+            pool, address, call, timeout_s=plan.timeout_ms / 1000 + 1
         )
         latency_s = clock.boottime_s() - began_s - at_s
+        if plan.follows_owner:
+            owners[call.key] = outcome.owner
         latency_s += 2 * plan.client_ms / 1000
         samples.append(Sample(at_s, late_s, latency_s, kind_of(outcome)))
         return True
