Hedge at the 95th percentile of latency in place of three means

The second try started after three times the typical latency, when most of the slow answer had been waited for. Ruled out: the choice of nodes (the straggler gets 1 to 6% of a fair share) and the budget (not used up).

The delay follows the 95th percentile of what this daemon sees, and the budget is 10%.

--- a/packages/front/src/waxwinglever_front/site.py
+++ b/packages/front/src/waxwinglever_front/site.py
@@ -25,7 +25,9 @@
 
 RETRY_RATIO = 0.1
 RETRY_BURST = 10
-HEDGE_RATIO = 0.05
+# The delay of a hedge lets about 5% of the requests through; a straggler adds
+# its share.
+HEDGE_RATIO = 0.1
 HEDGE_BURST = 5
 # Timeouts in a row after which the backend server counts as frozen.
 FROZEN_AFTER_TIMEOUTS = 3
--- a/packages/routing/src/waxwinglever_routing/balancer.py
+++ b/packages/routing/src/waxwinglever_routing/balancer.py
@@ -29,9 +29,14 @@
 ABSENCE_S = 30.0
 # Latency that is assumed before the first answer; also the least one.
 FIRST_LATENCY_S = 0.001
-# A second try starts after this multiple of the typical latency, about the
-# 95th percentile of exponential service times.
-HEDGE_FACTOR = 3.0
+# A second try starts after this quantile of the latencies, so that about one
+# in twenty requests is hedged when all nodes are equally fast.
+HEDGE_QUANTILE = 0.95
+# Step of the estimate of that quantile, as a share of it, and the larger first
+# steps in which it finds the right order of magnitude.
+QUANTILE_STEP = 0.05
+QUANTILE_FIRST_SAMPLES = 4
+FIRST_TAIL_S = 0.1
 HEDGE_LEAST_S = 0.005
 # Draws before all nodes are looked at; avoided nodes are few.
 DRAWS = 8
@@ -70,12 +75,16 @@
       now: Returns seconds of a monotonic clock.
       views: By node name.
       typical_s: Moving average of the latency of all nodes.
+      tail_s: Estimate of the HEDGE_QUANTILE of the latencies.
+      samples: Latencies seen.
     """
 
     rng: random.Random = attrs.Factory(random.Random)
     now: Callable[[], float] = clock.boottime_s
     views: dict[str, NodeView] = attrs.field(factory=dict, init=False)
     typical_s: float = attrs.field(default=FIRST_LATENCY_S, init=False)
+    tail_s: float = attrs.field(default=FIRST_TAIL_S, init=False)
+    samples: int = attrs.field(default=0, init=False)
     lock: threading.Lock = attrs.field(factory=threading.Lock, init=False)
 
 
@@ -182,7 +191,7 @@
 def hedge_delay_s(balancer: Balancer) -> float:
     """Returns how long a try may take before a second one is worth it."""
     with balancer.lock:
-        return max(HEDGE_LEAST_S, HEDGE_FACTOR * balancer.typical_s)
+        return max(HEDGE_LEAST_S, balancer.tail_s)
 
 
 def started(balancer: Balancer, node: str) -> None:
@@ -232,3 +241,18 @@
         view.latency_s = view.latency_s * keep + seconds * (1 - keep)
     view.sampled_s = now_s
     balancer.typical_s += (seconds - balancer.typical_s) / 64
+    learn_tail(balancer, seconds)
+
+
+def learn_tail(balancer: Balancer, seconds: float) -> None:
+    """Moves the estimate of the quantile up or down by a share of itself.
+
+    The steps balance where HEDGE_QUANTILE of the samples are below it.
+    """
+    balancer.samples += 1
+    first = QUANTILE_FIRST_SAMPLES / balancer.samples
+    step = max(QUANTILE_STEP, min(1.0, first))
+    if seconds > balancer.tail_s:
+        balancer.tail_s *= 1 + step * HEDGE_QUANTILE
+    else:
+        balancer.tail_s *= 1 - step * (1 - HEDGE_QUANTILE)
--- a/packages/routing/tests/test_balancer.py
+++ b/packages/routing/tests/test_balancer.py
@@ -145,3 +145,17 @@
             balancer.choose(self.state, (f"n{i}",))
         self.assertEqual(balancer.MAX_NODES, len(self.state.views))
         self.assertIn("busy", self.state.views)
+
+
+class HedgeDelayTest(testtools.TestCase):
+    """Guards against hedges that come too late to help, or too often."""
+
+    def test_the_delay_is_near_the_quantile(self):
+        rng = random.Random(5)
+        made = balancer.Balancer(rng=rng, now=lambda: 0.0)
+        for low in (0.1, 0.01):
+            for _ in range(3000):
+                balancer.started(made, "a")
+                balancer.ended(made, "a", rng.uniform(low, 2 * low), True)
+            delay = balancer.hedge_delay_s(made)
+            self.assertTrue(1.6 * low < delay < 2.6 * low, delay)
