--- a/packages/front/src/waxwinglever_front/targets.py
+++ b/packages/front/src/waxwinglever_front/targets.py
@@ -52,7 +52,7 @@
         Target(member, record.cell, version)
         for record, version in known_records(site, request)
         for member in record.members
-        if member.zone not in out and not member.draining
+        if member.zone not in out
     ]
     if request.request_id is not None and request.ticket is not None:
         incarnation = tickets.parse_ticket(request.ticket).incarnation
--- a/packages/model/src/waxwinglever_model/cells.py
+++ b/packages/model/src/waxwinglever_model/cells.py
@@ -20,7 +20,6 @@
       peer_address: host:port for messages between daemons.
       http_address: host:port for callers and forwarded requests.
       zone: Availability zone.
-      draining: Whether the node is leaving and must own nothing.
     """
 
     node: str
@@ -28,7 +27,6 @@
     peer_address: str
     http_address: str
     zone: str
-    draining: bool = False
 
 
 @attrs.frozen
--- a/packages/ownership/src/waxwinglever_ownership/changes.py
+++ b/packages/ownership/src/waxwinglever_ownership/changes.py
@@ -192,8 +192,7 @@
     if follower is None or follower.last_ack is None:
         return 0.0
     is_out = (
-        member.draining
-        or follower.draining
+        follower.draining
         or member.node in leader.leaving
         or member.node in rules.retired
         or member.zone in rules.zones_out
--- a/packages/ownership/src/waxwinglever_ownership/leading.py
+++ b/packages/ownership/src/waxwinglever_ownership/leading.py
@@ -26,6 +26,7 @@
     """Leads the cell until a higher term is seen or the node stops."""
     node.leader = leader
     peers: dict[str, threading.Thread] = {}
+    is_handed_over = False
     try:
         while not leader.stepped_down and not node.stopping.is_set():
             start_peers(node, leader, peers)
@@ -38,6 +39,7 @@
                     write_change(node, leader, record)
                     continue
             if node.leaving and transfer(node, leader):
+                is_handed_over = True
                 break
             with leader.lock:
                 if not leader.stepped_down:
@@ -51,11 +53,18 @@
             "leader-ended",
             cell=leader.record.cell,
             term=leader.record.term,
-            reason="stopping" if node.stopping.is_set() else "higher term",
+            reason=end_reason(node, is_handed_over),
         )
         nodes.restart_silence(node)
 
 
+def end_reason(node: nodes.CellNode, is_handed_over: bool) -> str:
+    """Returns why a leadership ended, for the log."""
+    if is_handed_over:
+        return "handed over"
+    return "stopping" if node.stopping.is_set() else "higher term"
+
+
 def note_own_membership(
     node: nodes.CellNode, leader: leadership.LeaderState
 ) -> None:
--- a/packages/telemetry/src/waxwinglever_telemetry/logs.py
+++ b/packages/telemetry/src/waxwinglever_telemetry/logs.py
@@ -6,8 +6,6 @@
 
 import structlog
 
-from waxwinglever_model import clock
-
 FIRST_KEYS = ("time", "level", "event", "node")
 
 
@@ -52,14 +50,3 @@
 def logger() -> typing.Any:
     """Returns the logger; it follows the newest configuration."""
     return structlog.get_logger()
-
-
-def audit(event: str, **fields: typing.Any) -> None:
-    """Logs a change of ownership for the check of ownership intervals.
-
-    Args:
-      event: What happened, for example `lease-begin`.
-      **fields: Slice, epoch and whatever else identifies the interval.
-    """
-    # Wall clocks of nodes differ and step; boot time is what leases use.
-    logger().info(event, audit=True, boottime_ns=clock.boottime_ns(), **fields)
--- a/packages/telemetry/tests/test_logs.py
+++ b/packages/telemetry/tests/test_logs.py
@@ -6,7 +6,6 @@
 
 import testtools
 
-from waxwinglever_model import clock
 from waxwinglever_telemetry import logs
 
 
@@ -36,13 +35,6 @@
             line,
         )
 
-    def test_audit_lines_carry_the_clock_of_leases(self):
-        before = clock.boottime_ns()
-        logs.audit("lease-begin", epoch=3)
-        (line,) = self.lines()
-        self.assertTrue(before <= line["boottime_ns"] <= clock.boottime_ns())
-        self.assertEqual((True, 3), (line["audit"], line["epoch"]))
-
     def test_exceptions_and_odd_values_stay_on_one_line(self):
         try:
             raise ValueError("a\nb")
