--- a/packages/front/src/waxwinglever_front/router.py
+++ b/packages/front/src/waxwinglever_front/router.py
@@ -203,10 +203,12 @@
     exclude = refused if len(refused) < len(found) else set()
     first = balancer.choose(nodes, list(found), exclude)
     refused.add(first)
-    tries = [functools.partial(timed_try, site, request, found[first], nodes)]
+    first_try = functools.partial(
+        timed_try, site, request, found[first], nodes
+    )
     others = [name for name in found if name not in refused]
     if not (request.is_safe and others):
-        return tries[0]()
+        return first_try()
 
     def second_try() -> exchange.Reply:
         second = balancer.choose(nodes, others, set())
@@ -215,7 +217,7 @@
     delay_s = balancer.hedge_delay_s(nodes)
     return hedging.first_answer(
         site.hedgers,
-        tries[0],
+        first_try,
         second_try,
         delay_s,
         functools.partial(budgets.withdraw, site.hedges),
