--- a/packages/front/src/waxwinglever_front/router.py
+++ b/packages/front/src/waxwinglever_front/router.py
@@ -203,9 +203,7 @@
     exclude = refused if len(refused) < len(found) else set()
     first = balancer.choose(nodes, list(found), exclude)
     refused.add(first)
-    first_try = functools.partial(
-        timed_try, site, request, found[first], nodes
-    )
+    first_try = functools.partial(timed_try, site, request, found[first], nodes)
     others = [name for name in found if name not in refused]
     if not (request.is_safe and others):
         return first_try()
