--- /dev/null
+++ b/packages/assignment/src/waxwinglever_assignment/__init__.py
@@ -0,0 +1,4 @@
+"""Ownership of key ranges, assigned in the store and held under leases.
+
+Public modules: tables, fleet, replicas, sessions, holder, planning, planner.
+"""
--- /dev/null
+++ b/packages/assignment/src/waxwinglever_assignment/holder.py
@@ -0,0 +1,322 @@
+"""The owner's side: grants to the backend server beside this daemon.
+
+A range is granted for as long as the session is valid and no longer, so that
+no grant is in force when the planner gives the range to another node.
+"""
+
+import threading
+from collections.abc import Callable, Mapping
+from concurrent import futures
+
+import attrs
+
+from waxwinglever_assignment import fleet as fleets
+from waxwinglever_assignment import sessions
+from waxwinglever_assignment import tables
+from waxwinglever_model import clock
+from waxwinglever_model import exceptions
+from waxwinglever_store import leased
+
+# Grants are renewed this often; a renewal without an answer is repeated then.
+RENEW_S = 0.5
+# A backend server's clock may run 2% slow.
+CLOCK_FACTOR = 1.02
+# Time that a grant may need to its arrival.
+ARRIVAL_S = 0.05
+# Shorter grants are not worth a call.
+LEAST_HOLD_S = 0.3
+CALL_TIMEOUT_S = 0.4
+# A release is answered when the work on its keys has ended.
+RELEASE_TIMEOUT_S = 1.5
+# Calls to the backend server at a time; one without an answer must not delay
+# the renewal of all other ranges.
+CALLERS = 4
+
+
+class FenceTooLow(exceptions.WaxwingleverError):
+    """The backend server has seen a higher fence on one of the keys."""
+
+    kind = "fence-too-low"
+
+
+@attrs.frozen
+class Orders:
+    """Calls to the backend server; each raises BackendUnavailable.
+
+    Attributes:
+      grant: Takes a range, seconds to hold it and the time limit of the call.
+        Raises FenceTooLow.
+      release: Takes a range and the time limit of the call; returns the
+        handover token.
+    """
+
+    grant: Callable[[tables.Range, float, float], None]
+    release: Callable[[tables.Range, float], str]
+
+
+@attrs.define(eq=False)
+class Holder:
+    """The ranges that the backend server holds.
+
+    Attributes:
+      name: Name of this node.
+      service: Its service.
+      fleet: What is known of the others.
+      session: The session of this node.
+      store: The store.
+      orders: Calls to the backend server.
+      log: Called with an event name and fields.
+      held: Until when each range is held, by fence, on this node's clock.
+      ranges: The ranges of `held`, by fence.
+      leaving: Fences of ranges that are released or being released.
+      latest_end_s: When the last grant that was sent ends at the latest.
+      instance: Life of the backend server that the grants went to.
+      wake: Set when there may be something to do.
+      stopping: Ends the threads.
+    """
+
+    name: str
+    service: str
+    fleet: fleets.Fleet
+    session: sessions.Session
+    store: leased.LeasedStore
+    orders: Orders
+    log: Callable[..., None]
+    now: Callable[[], float] = clock.boottime_s
+    held: dict[int, float] = attrs.Factory(dict)
+    ranges: dict[int, tables.Range] = attrs.Factory(dict)
+    leaving: set[int] = attrs.Factory(set)
+    latest_end_s: float = float("-inf")
+    instance: str = ""
+    lock: threading.Lock = attrs.Factory(threading.Lock)
+    callers: futures.ThreadPoolExecutor = attrs.Factory(
+        lambda: futures.ThreadPoolExecutor(CALLERS, "grants")
+    )
+    stopping: threading.Event = attrs.Factory(threading.Event)
+
+
+def fence_for(holder: Holder, shard: int) -> int | None:
+    """Returns the fence under which a shard is held now, or None.
+
+    Only what the backend server has acknowledged counts.
+    """
+    now_s = holder.now()
+    with holder.lock:
+        for fence, item in holder.ranges.items():
+            if item.first <= shard <= item.last:
+                if holder.held[fence] > now_s and fence not in holder.leaving:
+                    return fence
+    return None
+
+
+def run_grants(holder: Holder) -> None:
+    """Renews the grants; one thread's task."""
+    known = -1
+    while not holder.stopping.is_set():
+        began_s = holder.now()
+        try:
+            renew(holder)
+        except exceptions.WaxwingleverError as error:
+            holder.log("ranges-not-claimed", error=error.message)
+        known = wait(holder, known, began_s + RENEW_S)
+
+
+def run_handovers(holder: Holder) -> None:
+    """Hands over the ranges that should move; one thread's task."""
+    known = -1
+    while not holder.stopping.is_set():
+        began_s = holder.now()
+        try:
+            hand_over(holder)
+        except exceptions.WaxwingleverError as error:
+            holder.log("ranges-not-handed-over", error=error.message)
+        known = wait(holder, known, began_s + RENEW_S)
+
+
+def wait(holder: Holder, known: int, until_s: float) -> int:
+    """Waits for a change of the fleet, at most until a time."""
+    replica = holder.fleet.replica
+    with replica.moved:
+        replica.moved.wait_for(
+            lambda: replica.changed != known or holder.stopping.is_set(),
+            max(0.01, until_s - holder.now()),
+        )
+        return replica.changed
+
+
+def my_table(holder: Holder) -> tables.Table | None:
+    """Returns the ownership record when it is fit to act on."""
+    if holder.fleet.replica.version < holder.session.floor:
+        return None
+    if sessions.valid_until_s(holder.session) <= holder.now():
+        return None
+    return fleets.table(holder.fleet, holder.service)
+
+
+def renew(holder: Holder) -> None:
+    """Grants all ranges of this node that stay here."""
+    table = my_table(holder)
+    me = holder.session.member
+    if holder.instance != me.instance:
+        with holder.lock:
+            holder.instance = me.instance
+            holder.held.clear()
+            holder.ranges.clear()
+            holder.leaving.clear()
+    if table is None or me.state == fleets.DOWN or not me.instance:
+        return
+    mine = tables.owned(table, holder.name)
+    drop_others(holder, {item.fence for item in mine})
+    if any(item.instance != me.instance for item in mine):
+        claim(holder, table, me.instance)
+        return
+    staying = [
+        item
+        for item in mine
+        if not item.to_node and item.fence not in holder.leaving
+    ]
+    # A range that was kept after all is granted again.
+    with holder.lock:
+        holder.leaving &= {item.fence for item in mine if item.to_node}
+    list(holder.callers.map(lambda item: grant(holder, item), staying))
+
+
+def drop_others(holder: Holder, fences: set[int]) -> None:
+    """Forgets ranges that the record gives to others by now."""
+    with holder.lock:
+        for fence in [f for f in holder.ranges if f not in fences]:
+            del holder.ranges[fence]
+            del holder.held[fence]
+
+
+def claim(holder: Holder, table: tables.Table, instance: str) -> None:
+    """Takes this node's ranges over for a new life of its backend server.
+
+    The earlier life held them under its own fence and has ended.
+    """
+    changes = {
+        item.fence: {"instance": instance, "handover": "", "to_node": ""}
+        for item in tables.owned(table, holder.name)
+        if item.instance != instance
+    }
+    commit(holder, tables.replace(table, changes))
+    holder.log("ranges-claimed", instance=instance, ranges=len(changes))
+
+
+def grant(holder: Holder, item: tables.Range) -> None:
+    """Grants or renews one range."""
+    sent_s = holder.now()
+    valid_s = sessions.valid_until_s(holder.session) - sent_s
+    hold_s = valid_s / CLOCK_FACTOR - ARRIVAL_S
+    if hold_s < LEAST_HOLD_S:
+        return
+    holder.latest_end_s = max(holder.latest_end_s, sent_s + valid_s)
+    try:
+        holder.orders.grant(item, hold_s, CALL_TIMEOUT_S)
+    except FenceTooLow as error:
+        holder.log("grant-refused", fence=item.fence, error=error.message)
+        return
+    except exceptions.WaxwingleverError as error:
+        holder.log("grant-unanswered", fence=item.fence, error=error.message)
+        return
+    with holder.lock:
+        if holder.instance == item.instance:
+            if item.fence not in holder.held:
+                holder.log(
+                    "range-held",
+                    first=item.first,
+                    last=item.last,
+                    fence=item.fence,
+                    hold_s=round(hold_s, 3),
+                )
+            holder.held[item.fence] = sent_s + hold_s
+            holder.ranges[item.fence] = item
+
+
+def hand_over(holder: Holder) -> None:
+    """Releases the ranges that should move and passes them on."""
+    table = my_table(holder)
+    me = holder.session.member
+    if table is None:
+        return
+    moving = [
+        item for item in tables.owned(table, holder.name) if item.to_node
+    ]
+    if not moving:
+        return
+    with holder.lock:
+        holder.leaving |= {item.fence for item in moving}
+    if me.state == fleets.DOWN or moving[0].instance != me.instance:
+        # Nothing can be released; what was granted must run out.
+        if holder.now() < holder.latest_end_s:
+            return
+        tokens = {item.fence: "" for item in moving}
+    else:
+        tokens = release(holder, moving)
+    pass_on(holder, tokens)
+
+
+def release(
+    holder: Holder, moving: list[tables.Range]
+) -> dict[int, str]:
+    """Returns the handover tokens of released ranges, by fence.
+
+    A range whose release is not answered counts as released when its last
+    grant has run out.
+    """
+
+    def one(item: tables.Range) -> tuple[int, str | None]:
+        try:
+            return item.fence, holder.orders.release(item, RELEASE_TIMEOUT_S)
+        except exceptions.WaxwingleverError as error:
+            holder.log(
+                "release-unanswered", fence=item.fence, error=error.message
+            )
+            with holder.lock:
+                end_s = holder.held.get(item.fence, float("-inf"))
+            ended = holder.now() >= end_s * 1.0 + margin_s()
+            return item.fence, "" if ended else None
+
+    found = dict(holder.callers.map(one, moving))
+    return {fence: token for fence, token in found.items() if token is not None}
+
+
+def margin_s() -> float:
+    """Returns by how much a grant may outlast its time on our clock."""
+    return sessions.VALID_S * (CLOCK_FACTOR - 1) + CALL_TIMEOUT_S + ARRIVAL_S
+
+
+def pass_on(holder: Holder, tokens: Mapping[int, str]) -> None:
+    """Writes the new owners of released ranges into the record."""
+    table = my_table(holder)
+    if table is None or not tokens:
+        return
+    changes = {}
+    for item in tables.owned(table, holder.name):
+        if item.fence not in tokens or not item.to_node:
+            continue
+        target = fleets.member(holder.fleet, item.to_node)
+        if target is None:
+            continue
+        changes[item.fence] = {
+            "node": target.name,
+            "instance": target.instance,
+            "handover": tokens[item.fence],
+            "to_node": tables.NOBODY,
+        }
+    if not changes:
+        return
+    commit(holder, tables.replace(table, changes))
+    holder.log("ranges-handed-over", fences=sorted(changes))
+
+
+def commit(holder: Holder, table: tables.Table) -> None:
+    """Writes the record if it is still as this node knows it."""
+    key = fleets.TABLES + holder.service
+    holder.store.commit(
+        {
+            key: fleets.table_version(holder.fleet, holder.service),
+        },
+        [leased.Write(key, tables.encode(table))],
+        [],
+    )
--- /dev/null
+++ b/packages/assignment/src/waxwinglever_assignment/planner.py
@@ -0,0 +1,215 @@
+"""The planner: the one node that decides who should own what.
+
+It holds a key of the store under its session's lease. Two planners at a time
+do no harm, as the record changes by compare-and-swap.
+"""
+
+import threading
+from collections.abc import Callable, Mapping, Sequence
+
+import attrs
+
+from waxwinglever_assignment import fleet as fleets
+from waxwinglever_assignment import planning
+from waxwinglever_assignment import sessions
+from waxwinglever_assignment import tables
+from waxwinglever_model import clock
+from waxwinglever_model import exceptions
+from waxwinglever_store import leased
+
+PASS_S = 0.25
+# A first table is made when no member has joined for this long, as its
+# grants are free and later moves are not.
+SETTLE_S = 1.0
+# Ranges move for balance this often.
+BALANCE_S = 2.0
+# An owner counts as missing only while the planner itself is in touch.
+IN_TOUCH_S = 1.2
+
+
+@attrs.define(eq=False)
+class Planner:
+    """The state of the planner's task.
+
+    Attributes:
+      fleet: What is known of the members and tables.
+      session: The session of this node.
+      store: The store.
+      services: Returns the names of keyed services in force.
+      closed_zones: Returns the zones that get no work.
+      loads: Returns measured loads of a service's ranges by fence.
+      log: Called with an event name and fields.
+      missing: When each owner without an entry was first missed.
+      joined: Number of ready members of a service, and since when.
+      balanced_s: When ranges of a service last moved for balance.
+      leading: Whether this node is the planner.
+    """
+
+    fleet: fleets.Fleet
+    session: sessions.Session
+    store: leased.LeasedStore
+    services: Callable[[], Sequence[str]]
+    closed_zones: Callable[[], frozenset[str]]
+    loads: Callable[[tables.Table], Mapping[int, float]]
+    log: Callable[..., None]
+    now: Callable[[], float] = clock.boottime_s
+    missing: dict[str, float] = attrs.Factory(dict)
+    joined: dict[str, tuple[int, float]] = attrs.Factory(dict)
+    balanced_s: dict[str, float] = attrs.Factory(dict)
+    leading: bool = False
+    stopping: threading.Event = attrs.Factory(threading.Event)
+
+
+def run(planner: Planner) -> None:
+    """Takes the planner's seat when it is free, and plans; one thread."""
+    replica = planner.fleet.replica
+    known = -1
+    while not planner.stopping.is_set():
+        with replica.moved:
+            replica.moved.wait_for(
+                lambda: replica.changed != known, PASS_S  # pylint: disable=cell-var-from-loop
+            )
+            known = replica.changed
+        try:
+            take_seat(planner)
+            if planner.leading:
+                track_missing(planner)
+                for service in planner.services():
+                    plan_service(planner, service)
+        except exceptions.Conflict:
+            # The record or the seat has changed; the watch brings it.
+            planner.stopping.wait(0.02)
+        except exceptions.WaxwingleverError as error:
+            planner.log("plan-failed", error=error.message)
+            planner.stopping.wait(PASS_S)
+
+
+def in_touch(planner: Planner) -> bool:
+    """Returns whether the store has confirmed this node lately."""
+    return planner.now() - planner.session.confirmed_s < IN_TOUCH_S
+
+
+def take_seat(planner: Planner) -> None:
+    """Finds out whether this node is the planner; takes a free seat."""
+    me = planner.session.member
+    leading = False
+    if in_touch(planner) and not me.leaving:
+        item = planner.fleet.replica.items.get(fleets.PLANNER)
+        if item is None and planner.fleet.replica.synced:
+            planner.store.commit(
+                {fleets.PLANNER: leased.ABSENT},
+                [
+                    leased.Write(
+                        fleets.PLANNER,
+                        me.incarnation.encode(),
+                        planner.session.lease,
+                    )
+                ],
+                [],
+            )
+            leading = True
+        elif item is not None:
+            leading = item.value.decode() == me.incarnation
+    if leading != planner.leading:
+        planner.leading = leading
+        planner.missing.clear()
+        planner.log("planner-seat", leading=leading)
+
+
+def track_missing(planner: Planner) -> None:
+    """Notes since when owners have no entry."""
+    now_s = planner.now()
+    if not in_touch(planner):
+        planner.missing.clear()
+        return
+    present = {member.name for member in fleets.members(planner.fleet)}
+    owners = set()
+    for service in planner.services():
+        table = fleets.table(planner.fleet, service)
+        if table is not None:
+            owners |= {item.node for item in table.ranges}
+    for name in owners - present - set(planner.missing):
+        planner.missing[name] = now_s
+        planner.log("owner-missing", node_name=name)
+    for name in list(planner.missing):
+        if name in present or name not in owners:
+            del planner.missing[name]
+
+
+def plan_service(planner: Planner, service: str) -> None:
+    """Plans one service and writes the changes."""
+    members = tuple(
+        member
+        for member in fleets.members(planner.fleet)
+        if member.service == service
+    )
+    table = fleets.table(planner.fleet, service)
+    if table is None:
+        make_first(planner, service, members)
+        return
+    now_s = planner.now()
+    gone = frozenset(
+        name
+        for name, since_s in planner.missing.items()
+        if now_s - since_s >= sessions.RELEASED_S
+    )
+    situation = planning.Situation(
+        table, members, gone, planner.closed_zones(), planner.loads(table)
+    )
+    balance = now_s - planner.balanced_s.get(service, now_s) >= BALANCE_S
+    planner.balanced_s.setdefault(service, now_s)
+    changes = planning.plan(situation, weights_of(members), balance)
+    if balance:
+        planner.balanced_s[service] = now_s
+    if not changes:
+        return
+    key = fleets.TABLES + service
+    expected = {key: fleets.table_version(planner.fleet, service)}
+    taken = {item.node for item in table.ranges if item.fence in changes}
+    for name in taken & gone:
+        # An owner that comes back in this moment keeps its ranges.
+        expected[fleets.NODES + name] = leased.ABSENT
+    planner.store.commit(
+        expected,
+        [leased.Write(key, tables.encode(tables.replace(table, changes)))],
+        [],
+    )
+    planner.log(
+        "ranges-planned",
+        service=service,
+        changed=len(changes),
+        gone=sorted(taken & gone),
+        targets=sorted(
+            {str(c.get("node") or c.get("to_node")) for c in changes.values()}
+        ),
+    )
+
+
+def weights_of(members: Sequence[fleets.Member]) -> dict[str, float]:
+    """Returns the relative capacity of each member."""
+    return {member.name: float(max(1, member.slots)) for member in members}
+
+
+def make_first(
+    planner: Planner, service: str, members: Sequence[fleets.Member]
+) -> None:
+    """Writes the first table once the members have settled."""
+    candidates = planning.usable(members, planner.closed_zones())
+    count, since_s = planner.joined.get(service, (0, 0.0))
+    now_s = planner.now()
+    if len(candidates) != count:
+        planner.joined[service] = (len(candidates), now_s)
+        return
+    if not candidates or now_s - since_s < SETTLE_S:
+        return
+    table = planning.first_table(service, candidates, weights_of(candidates))
+    key = fleets.TABLES + service
+    planner.store.commit(
+        {key: leased.ABSENT}, [leased.Write(key, tables.encode(table))], []
+    )
+    planner.log(
+        "ranges-dealt",
+        service=service,
+        ranges=len(table.ranges),
+        nodes=[member.name for member in candidates],
+    )
