Move ranges by measured load

Nodes count requests by bucket of 64 shards; the planner asks them twice a second, and moves or cuts the ranges of a node that is over 60% of its capacity (slots over measured service time).

--- a/Makefile
+++ b/Makefile
@@ -4,10 +4,11 @@
 SEED ?= 1
 MINUTES ?= 3
 PACKAGES = model records telemetry store peers backend placement admission \
-	routing ownership front daemon cli standins bench
+	routing assignment relay ownership front daemon cli standins bench
 empty :=
 space := $(empty) $(empty)
-SOURCES = $(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src)
+SOURCES = $(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src) \
+	$(CURDIR)/platform/src
 export VENV
 export PYTHONPATH = $(subst $(space),:,$(SOURCES)):$(CURDIR)/tools
 export PYTHONDONTWRITEBYTECODE = 1
@@ -19,12 +20,12 @@
 	@tools/env.sh
 
 format: env
-	$(VENV)/bin/pyink -q packages tools
+	$(VENV)/bin/pyink -q packages platform tools
 
 check: env
-	$(VENV)/bin/pyink -q --check packages tools
+	$(VENV)/bin/pyink -q --check packages platform tools
 	$(PY) tools/check_imports.py
-	$(PY) -m pylint --score=n packages tools
+	$(PY) -m pylint --score=n packages platform tools
 
 test: check
 	$(PY) tools/run_tests.py
--- a/packages/assignment/src/waxwinglever_assignment/planner.py
+++ b/packages/assignment/src/waxwinglever_assignment/planner.py
@@ -10,6 +10,7 @@
 import attrs
 
 from waxwinglever_assignment import fleet as fleets
+from waxwinglever_assignment import loads
 from waxwinglever_assignment import planning
 from waxwinglever_assignment import sessions
 from waxwinglever_assignment import tables
@@ -21,8 +22,15 @@
 # A first table is made when no member has joined for this long, as its
 # grants are free and later moves are not.
 SETTLE_S = 1.0
-# Ranges move for balance this often.
-BALANCE_S = 2.0
+# Ranges move for balance this often; the loads follow a move in about this
+# time.
+BALANCE_S = 1.5
+# Loads are asked for this often.
+REPORT_S = 0.5
+# Time that a request holds a slot before any node has measured it.
+FIRST_SERVICE_S = 0.15
+# Moves that are named in one log line.
+LOGGED_MOVES = 8
 # An owner counts as missing only while the planner itself is in touch.
 IN_TOUCH_S = 1.2
 
@@ -37,11 +45,12 @@
       store: The store.
       services: Returns the names of keyed services in force.
       closed_zones: Returns the zones that get no work.
-      loads: Returns measured loads of a service's ranges by fence.
+      ask: Returns the load report of a member; raises PeerUnavailable.
       log: Called with an event name and fields.
       missing: When each owner without an entry was first missed.
       joined: Number of ready members of a service, and since when.
       balanced_s: When ranges of a service last moved for balance.
+      reports: Newest load reports by member.
       leading: Whether this node is the planner.
     """
 
@@ -50,12 +59,13 @@
     store: leased.LeasedStore
     services: Callable[[], Sequence[str]]
     closed_zones: Callable[[], frozenset[str]]
-    loads: Callable[[tables.Table], Mapping[int, float]]
+    ask: Callable[[fleets.Member], loads.Report]
     log: Callable[..., None]
     now: Callable[[], float] = clock.boottime_s
     missing: dict[str, float] = attrs.Factory(dict)
     joined: dict[str, tuple[int, float]] = attrs.Factory(dict)
     balanced_s: dict[str, float] = attrs.Factory(dict)
+    reports: dict[str, loads.Report] = attrs.Factory(dict)
     leading: bool = False
     stopping: threading.Event = attrs.Factory(threading.Event)
 
@@ -153,41 +163,97 @@
         for name, since_s in planner.missing.items()
         if now_s - since_s >= sessions.RELEASED_S
     )
+    names = {member.name for member in members}
+    reports = {n: r for n, r in planner.reports.items() if n in names}
     situation = planning.Situation(
-        table, members, gone, planner.closed_zones(), planner.loads(table)
+        table,
+        members,
+        gone,
+        planner.closed_zones(),
+        loads.merged(reports),
+        capacities(members, reports),
     )
-    balance = now_s - planner.balanced_s.get(service, now_s) >= BALANCE_S
     planner.balanced_s.setdefault(service, now_s)
-    changes = planning.plan(situation, weights_of(members), balance)
+    balance = now_s - planner.balanced_s[service] >= BALANCE_S
+    planned = planning.plan(situation, balance)
     if balance:
         planner.balanced_s[service] = now_s
-    if not changes:
+    if planned == table:
         return
+    write(planner, service, situation, planned)
+
+
+def write(
+    planner: Planner,
+    service: str,
+    situation: planning.Situation,
+    planned: tables.Table,
+) -> None:
+    """Writes a planned record unless something has changed meanwhile."""
     key = fleets.TABLES + service
     expected = {key: fleets.table_version(planner.fleet, service)}
-    taken = {item.node for item in table.ranges if item.fence in changes}
-    for name in taken & gone:
+    kept = {(item.fence, item.node) for item in planned.ranges}
+    taken = {
+        item.node
+        for item in situation.table.ranges
+        if (item.fence, item.node) not in kept
+    }
+    for name in taken & set(situation.gone):
         # An owner that comes back in this moment keeps its ranges.
         expected[fleets.NODES + name] = leased.ABSENT
     planner.store.commit(
-        expected,
-        [leased.Write(key, tables.encode(tables.replace(table, changes)))],
-        [],
+        expected, [leased.Write(key, tables.encode(planned))], []
     )
     planner.log(
         "ranges-planned",
         service=service,
-        changed=len(changes),
-        gone=sorted(taken & gone),
-        targets=sorted(
-            {str(c.get("node") or c.get("to_node")) for c in changes.values()}
-        ),
+        record_version=expected[key],
+        gone=sorted(taken & set(situation.gone)),
+        moving=[
+            [item.first, item.last, item.node, item.to_node]
+            for item in planned.ranges
+            if item.to_node
+        ][:LOGGED_MOVES],
+        ranges=len(planned.ranges),
     )
 
 
-def weights_of(members: Sequence[fleets.Member]) -> dict[str, float]:
-    """Returns the relative capacity of each member."""
-    return {member.name: float(max(1, member.slots)) for member in members}
+def run_reports(planner: Planner) -> None:
+    """Asks the owners for their load while this node plans; one thread."""
+    while not planner.stopping.wait(REPORT_S):
+        if not planner.leading:
+            planner.reports.clear()
+            continue
+        services = set(planner.services())
+        for member in fleets.members(planner.fleet):
+            if member.service not in services:
+                continue
+            try:
+                planner.reports[member.name] = planner.ask(member)
+            except exceptions.WaxwingleverError as error:
+                planner.reports.pop(member.name, None)
+                planner.log(
+                    "load-unknown", node_name=member.name, error=error.message
+                )
+
+
+def capacities(
+    members: Sequence[fleets.Member], reports: Mapping[str, loads.Report]
+) -> dict[str, float]:
+    """Returns the requests a second that each member can serve.
+
+    A member that has not reported counts as fast as the others' mean.
+    """
+    known = [r.service_s for r in reports.values() if r.service_s > 0]
+    usual_s = sum(known) / len(known) if known else FIRST_SERVICE_S
+    found = {}
+    for member in members:
+        report = reports.get(member.name)
+        service_s = report.service_s if report and report.service_s else usual_s
+        # A few slow requests must not empty a node.
+        service_s = min(max(service_s, usual_s / 3), usual_s * 3)
+        found[member.name] = max(1, member.slots) / service_s
+    return found
 
 
 def make_first(
@@ -202,7 +268,9 @@
         return
     if not candidates or now_s - since_s < SETTLE_S:
         return
-    table = planning.first_table(service, candidates, weights_of(candidates))
+    table = planning.first_table(
+        service, candidates, capacities(candidates, planner.reports)
+    )
     key = fleets.TABLES + service
     planner.store.commit(
         {key: leased.ABSENT}, [leased.Write(key, tables.encode(table))], []
--- a/packages/assignment/src/waxwinglever_assignment/planning.py
+++ b/packages/assignment/src/waxwinglever_assignment/planning.py
@@ -1,20 +1,30 @@
 """Plans who should own which range, as plain functions."""
 
+import itertools
 from collections.abc import Collection, Mapping, Sequence
 
 import attrs
 
 from waxwinglever_assignment import fleet as fleets
+from waxwinglever_assignment import loads
 from waxwinglever_assignment import tables
 
 # Ranges of a first table. Busy keys lie close together, so each node gets
 # several ranges from all over the shards.
 FIRST_RANGES = 48
-# A move for balance must bring the busiest node this share of the mean load
-# nearer to the others.
-BALANCE_GAIN = 0.25
+# Below this share of its capacity a node needs no relief.
+RELIEF_FROM = 0.6
+# A move for balance must lower the share of the busiest node by this much.
+BALANCE_GAIN = 0.08
 # Balance moves under way at a time; each one stops its keys for a moment.
 MAX_BALANCE_MOVES = 3
+# A record with this many ranges is not cut further.
+MAX_RANGES = 512
+# All shards together count as this many requests a second beside the measured
+# ones, so that idle ranges are spread as well.
+IDLE_RATE = 4.0
+# A node without any range gets some when it could take this share of the mean.
+EMPTY_SHARE = 0.5
 
 
 @attrs.frozen
@@ -26,14 +36,34 @@
       members: Members of the service that have an entry.
       gone: Owners without an entry whose grants have run out.
       closed_zones: Zones that get no work.
-      loads: Measured load by fence; ranges without one count by their size.
+      rates: Measured requests a second by bucket.
+      capacities: Requests a second that each member can serve.
     """
 
     table: tables.Table
     members: tuple[fleets.Member, ...]
     gone: Collection[str]
     closed_zones: Collection[str]
-    loads: Mapping[int, float] = attrs.Factory(dict)
+    rates: Mapping[int, float]
+    capacities: Mapping[str, float]
+
+
+@attrs.define(eq=False)
+class Draft:
+    """A plan in the making.
+
+    Attributes:
+      candidates: Members that may own ranges, by name.
+      demand: Requests a second that each candidate would get.
+      sums: Rates of all buckets before each bucket.
+      changes: Changed fields of ranges, by fence.
+      cuts: Shards at which ranges are cut, by fence.
+    """
+
+    candidates: dict[str, fleets.Member]
+    demand: dict[str, float]
+    sums: list[float]
+    changes: dict[int, dict[str, object]] = attrs.Factory(dict)
 
 
 def usable(
@@ -53,134 +83,211 @@
 
 
 def first_table(
-    service: str, members: Sequence[fleets.Member], weights: Mapping[str, float]
+    service: str,
+    members: Sequence[fleets.Member],
+    capacities: Mapping[str, float],
 ) -> tables.Table:
-    """Returns a record that deals the shards out by weight, interleaved."""
+    """Returns a record that deals the buckets out by capacity, interleaved."""
     order = sorted(members, key=lambda member: member.name)
-    total = sum(weights[member.name] for member in order)
+    total = sum(capacities[member.name] for member in order)
     rounds = max(1, FIRST_RANGES // len(order))
-    size = tables.LAST_SHARD + 1
-    shares = []
+    shares: list[tuple[str, str, int]] = []
     dealt = 0
     share_sum = 0.0
     for turn in range(rounds):
         # Each round starts with another node, so that neighbours differ.
         shift = turn % len(order)
         for member in order[shift:] + order[:shift]:
-            share_sum += weights[member.name] / total / rounds
-            end = round(size * share_sum)
+            share_sum += capacities[member.name] / total / rounds
+            end = min(loads.BUCKETS, round(loads.BUCKETS * share_sum))
             if end > dealt:
-                shares.append((member.name, member.instance, end - dealt))
+                count = (end - dealt) * loads.BUCKET_SHARDS
+                shares.append((member.name, member.instance, count))
                 dealt = end
-    if dealt < size:
-        name, instance, count = shares[-1]
-        shares[-1] = (name, instance, count + size - dealt)
     return tables.deal(service, shares)
 
 
-def plan(
-    situation: Situation, weights: Mapping[str, float], balance: bool
-) -> dict[int, dict[str, object]]:
-    """Returns the changes of ranges, by fence, that should be made now.
+def plan(situation: Situation, balance: bool) -> tables.Table:
+    """Returns the record as it should be now.
 
     Args:
       situation: The record and the members.
-      weights: Relative capacity by member.
       balance: Whether ranges may move for an even load.
     """
-    candidates = usable(situation.members, situation.closed_zones)
+    table = situation.table
+    candidates = {
+        member.name: member
+        for member in usable(situation.members, situation.closed_zones)
+    }
     if not candidates:
-        return {}
-    by_name = {member.name: member for member in candidates}
+        return table
+    draft = Draft(candidates, dict.fromkeys(candidates, 0.0), sums_of(situation))
+    place(situation, draft)
+    if draft.changes:
+        return tables.replace(table, draft.changes)
+    moving = sum(1 for item in table.ranges if item.to_node)
+    if balance and moving == 0:
+        return balanced(situation, draft)
+    return table
+
+
+def sums_of(situation: Situation) -> list[float]:
+    """Returns the rates of all buckets before each bucket, and of all."""
+    idle = IDLE_RATE / loads.BUCKETS
+    return list(
+        itertools.accumulate(
+            (
+                idle + situation.rates.get(bucket, 0.0)
+                for bucket in range(loads.BUCKETS)
+            ),
+            initial=0.0,
+        )
+    )
+
+
+def rate_of(draft: Draft, first: int, last: int) -> float:
+    """Returns the requests a second for some shards."""
+    end = loads.bucket_of(last) + 1
+    return draft.sums[end] - draft.sums[loads.bucket_of(first)]
+
+
+def place(situation: Situation, draft: Draft) -> None:
+    """Finds owners for ranges that can't stay where they are."""
     present = {member.name for member in situation.members}
-    totals = dict.fromkeys(by_name, 0.0)
-    sizes = range_loads(situation)
-    to_place = []
-    changes: dict[int, dict[str, object]] = {}
+    homeless = []
     for item in situation.table.ranges:
-        target = item.to_node if item.to_node in by_name else item.node
-        if target in by_name and (item.node in present):
-            totals[target] += sizes[item.fence]
-            if item.to_node and target != item.to_node:
-                changes[item.fence] = {"to_node": tables.NOBODY}
-        elif item.node in present or item.node in situation.gone:
-            to_place.append(item)
-        elif item.node == tables.NOBODY:
-            to_place.append(item)
-    to_place.sort(key=lambda item: -sizes[item.fence])
-    for item in to_place:
+        rate = rate_of(draft, item.first, item.last)
+        if item.node not in present:
+            if item.node in situation.gone or item.node == tables.NOBODY:
+                homeless.append((rate, item))
+            continue
+        target = item.to_node or item.node
+        if target in draft.candidates:
+            draft.demand[target] += rate
+        elif item.node in draft.candidates:
+            # The new owner went away before the range was handed over.
+            draft.demand[item.node] += rate
+            draft.changes[item.fence] = {"to_node": tables.NOBODY}
+        else:
+            homeless.append((rate, item))
+    homeless.sort(key=lambda pair: (-pair[0], pair[1].first))
+    for rate, item in homeless:
         name = min(
-            totals,
+            draft.candidates,
             key=lambda name: (
-                (totals[name] + sizes[item.fence]) / weights[name],
+                (draft.demand[name] + rate) / situation.capacities[name],
                 name,
             ),
         )
-        totals[name] += sizes[item.fence]
+        draft.demand[name] += rate
         if item.node in present:
-            changes[item.fence] = {"to_node": name}
+            draft.changes[item.fence] = {"to_node": name}
         else:
-            changes[item.fence] = {
+            draft.changes[item.fence] = {
                 "node": name,
-                "instance": by_name[name].instance,
+                "instance": draft.candidates[name].instance,
                 "handover": "",
                 "to_node": tables.NOBODY,
             }
-    if balance and not changes:
-        moving = sum(1 for item in situation.table.ranges if item.to_node)
-        changes = balance_moves(
-            situation, weights, totals, sizes, MAX_BALANCE_MOVES - moving
+
+
+def balanced(situation: Situation, draft: Draft) -> tables.Table:
+    """Returns the record with moves away from the busiest members."""
+    table = situation.table
+    capacities = situation.capacities
+    for _ in range(MAX_BALANCE_MOVES):
+        shares = {
+            name: draft.demand[name] / capacities[name]
+            for name in draft.candidates
+        }
+        busiest = max(shares, key=lambda name: (shares[name], name))
+        calmest = min(shares, key=lambda name: (shares[name], name))
+        mean = sum(draft.demand.values()) / sum(
+            capacities[name] for name in draft.candidates
+        )
+        empty = shares[calmest] < EMPTY_SHARE * mean
+        if shares[busiest] < RELIEF_FROM and not empty:
+            break
+        found = best_cut(
+            [
+                item
+                for item in table.ranges
+                if item.node == busiest and not item.to_node
+            ],
+            draft,
+            (draft.demand[busiest], capacities[busiest]),
+            (draft.demand[calmest], capacities[calmest]),
         )
-    return changes
+        if found is None:
+            break
+        after, item, first, last = found
+        needed = mean * BALANCE_GAIN if empty else BALANCE_GAIN
+        if shares[busiest] - after < needed:
+            break
+        rate = rate_of(draft, first, last)
+        draft.demand[busiest] -= rate
+        draft.demand[calmest] += rate
+        table, fence = cut_out(table, item, first, last)
+        table = tables.replace(table, {fence: {"to_node": calmest}})
+    return table
 
 
-def range_loads(situation: Situation) -> dict[int, float]:
-    """Returns the load of each range by fence; the mean over all is 1."""
-    ranges = situation.table.ranges
-    size = tables.LAST_SHARD + 1
-    by_size = {
-        item.fence: (item.last - item.first + 1) / size for item in ranges
-    }
-    total = sum(situation.loads.get(item.fence, 0.0) for item in ranges)
-    if total <= 0:
-        return {fence: part * len(ranges) for fence, part in by_size.items()}
-    # A quarter by size keeps idle ranges spread, as busy keys change.
-    return {
-        fence: len(ranges)
-        * (0.25 * part + 0.75 * situation.loads.get(fence, 0.0) / total)
-        for fence, part in by_size.items()
-    }
+def best_cut(
+    ranges: Sequence[tables.Range],
+    draft: Draft,
+    giver: tuple[float, float],
+    taker: tuple[float, float],
+) -> tuple[float, tables.Range, int, int] | None:
+    """Returns which shards should move between two members.
 
+    Args:
+      ranges: The ranges of the giver.
+      draft: The plan in the making.
+      giver: Demand and capacity of the giver.
+      taker: Demand and capacity of the taker.
 
-def balance_moves(
-    situation: Situation,
-    weights: Mapping[str, float],
-    totals: dict[str, float],
-    sizes: Mapping[int, float],
-    most: int,
-) -> dict[int, dict[str, object]]:
-    """Returns moves from the busiest to the least busy members."""
-    changes: dict[int, dict[str, object]] = {}
-    mean = sum(totals.values()) / sum(weights[name] for name in totals)
-    for _ in range(most):
-        busiest = max(totals, key=lambda name: totals[name] / weights[name])
-        calmest = min(totals, key=lambda name: totals[name] / weights[name])
-        best = None
-        before = totals[busiest] / weights[busiest]
-        for item in situation.table.ranges:
-            if item.node != busiest or item.to_node or item.fence in changes:
-                continue
-            load = sizes[item.fence]
-            after = max(
-                (totals[busiest] - load) / weights[busiest],
-                (totals[calmest] + load) / weights[calmest],
-            )
-            if best is None or after < best[0]:
-                best = (after, item)
-        if best is None or before - best[0] < BALANCE_GAIN * mean:
-            break
-        item = best[1]
-        totals[busiest] -= sizes[item.fence]
-        totals[calmest] += sizes[item.fence]
-        changes[item.fence] = {"to_node": calmest}
-    return changes
+    Returns:
+      The higher of the two shares after the move, the range, and its first and
+      last shard that should move. A range moves whole, or its front or back
+      part does.
+    """
+    best = None
+
+    def consider(item: tables.Range, first: int, last: int) -> None:
+        nonlocal best
+        rate = rate_of(draft, first, last)
+        after = max(
+            (giver[0] - rate) / giver[1], (taker[0] + rate) / taker[1]
+        )
+        if best is None or after < best[0] - 1e-9:
+            best = (after, item, first, last)
+
+    wanted = (giver[0] * taker[1] - taker[0] * giver[1]) / (
+        giver[1] + taker[1]
+    )
+    for item in ranges:
+        consider(item, item.first, item.last)
+        if rate_of(draft, item.first, item.last) <= wanted:
+            continue
+        for bucket in range(
+            loads.bucket_of(item.first) + 1, loads.bucket_of(item.last) + 1
+        ):
+            cut = bucket * loads.BUCKET_SHARDS
+            consider(item, item.first, cut - 1)
+            consider(item, cut, item.last)
+    return best
+
+
+def cut_out(
+    table: tables.Table, item: tables.Range, first: int, last: int
+) -> tuple[tables.Table, int]:
+    """Returns the record with some shards as a range of their own.
+
+    Returns:
+      The record, and the fence of that range.
+    """
+    if (first, last) == (item.first, item.last):
+        return table, item.fence
+    at = first if first > item.first else last + 1
+    table = tables.split(table, item.fence, [at])
+    return table, tables.range_of(table, first).fence
--- a/packages/assignment/src/waxwinglever_assignment/tables.py
+++ b/packages/assignment/src/waxwinglever_assignment/tables.py
@@ -132,7 +132,7 @@
             ranges.append(item)
             continue
         cuts = [item.first]
-        cuts += [cut for cut in sorted(at) if item.first < cut <= item.last]
+        cuts += [cut for cut in sorted(set(at)) if item.first < cut <= item.last]
         ends = [cut - 1 for cut in cuts[1:]] + [item.last]
         for part, (first, last) in enumerate(zip(cuts, ends)):
             kept = item.fence
--- /dev/null
+++ b/packages/assignment/tests/conftest.py
@@ -0,0 +1,75 @@
+"""Builders that the tests of waxwinglever_assignment share."""
+
+import types
+
+import attrs
+import pytest
+
+from waxwinglever_assignment import fleet as fleets
+from waxwinglever_assignment import replicas
+from waxwinglever_assignment import sessions
+from waxwinglever_standins import leased_memory
+
+
+@attrs.define(eq=False)
+class Clock:
+    """A clock that the test moves."""
+
+    now_s: float = 100.0
+
+    def __call__(self) -> float:
+        return self.now_s
+
+
+def member(name: str, **fields) -> fleets.Member:
+    """Returns a member that is ready."""
+    values = {
+        "incarnation": "1",
+        "address": f"127.0.0.1:{len(name)}",
+        "zone": "a",
+        "service": "dispatch",
+        "instance": f"{name}@1",
+        "instance_id": name,
+        "slots": 10,
+        "state": fleets.READY,
+    }
+    return fleets.Member(name, **(values | fields))
+
+
+def ignore(event: str, **fields) -> None:
+    """Takes a log line."""
+    del event, fields
+
+
+@attrs.define(eq=False)
+class Node:
+    """A session and its view of the store, without threads."""
+
+    memory: leased_memory.Memory
+    clock: Clock
+    session: sessions.Session
+    replica: replicas.Replica
+    fleet: fleets.Fleet
+
+
+def node(memory: leased_memory.Memory, clock: Clock, name: str) -> Node:
+    """Returns a node on a store in memory."""
+    store = leased_memory.connect(memory)
+    replica = replicas.Replica(store, fleets.PREFIX, ignore, now=clock)
+    fleet = fleets.Fleet(replica, ignore)
+    session = sessions.Session(
+        store,
+        member(name),
+        lambda: replica.items.get(fleets.NODES + name),
+        ignore,
+        now=clock,
+    )
+    return Node(memory, clock, session, replica, fleet)
+
+
+@pytest.fixture(scope="class")
+def build(request):
+    """Gives a test class the builders of this file."""
+    request.cls.build = types.SimpleNamespace(
+        Clock=Clock, member=member, ignore=ignore, node=node
+    )
--- /dev/null
+++ b/packages/assignment/tests/test_sessions.py
@@ -0,0 +1,77 @@
+"""Tests of waxwinglever_assignment.sessions."""
+
+import pytest
+import testtools
+
+from waxwinglever_assignment import fleet as fleets
+from waxwinglever_assignment import replicas
+from waxwinglever_assignment import sessions
+from waxwinglever_model import exceptions
+from waxwinglever_standins import leased_memory
+from waxwinglever_store import leased
+
+
+@pytest.mark.usefixtures("build")
+class SessionsTest(testtools.TestCase):
+    """Guards against a node that believes in a session that has ended."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = self.build.Clock()
+        self.memory = leased_memory.Memory(now=self.clock)
+        self.node = self.build.node(self.memory, self.clock, "n1")
+        self.session = self.node.session
+        sessions.confirm(self.session)
+        replicas.load(self.node.replica)
+
+    def test_validity_counts_from_before_the_call(self):
+        self.assertEqual(
+            100.0 + sessions.VALID_S, sessions.valid_until_s(self.session)
+        )
+
+    def test_failed_call_confirms_nothing(self):
+        self.clock.now_s += 0.5
+        self.memory.down = True
+        self.assertRaises(
+            exceptions.StoreUnavailable, sessions.confirm, self.session
+        )
+        self.assertEqual(100.0, self.session.confirmed_s)
+
+    def test_revoked_entry_ends_the_session(self):
+        # The lease goes on, so only the entry shows it.
+        leased_memory.revoke(self.memory, fleets.NODES + "n1")
+        self.session.doubtful = True
+        self.assertRaises(leased.LeaseEnded, sessions.confirm, self.session)
+        self.assertEqual(100.0, self.session.confirmed_s)
+
+    def test_revoked_entry_is_not_written_again_under_the_old_lease(self):
+        leased_memory.revoke(self.memory, fleets.NODES + "n1")
+        sessions.announce(self.session, state=fleets.DRAINING)
+        self.assertRaises(leased.LeaseEnded, sessions.confirm, self.session)
+
+    def test_removal_seen_by_the_watch_ends_the_session(self):
+        leased_memory.revoke(self.memory, fleets.NODES + "n1")
+        replicas.follow(self.node.replica)
+        self.assertRaises(leased.LeaseEnded, sessions.confirm, self.session)
+
+    def test_steady_session_reads_nothing(self):
+        self.memory.calls.clear()
+        sessions.confirm(self.session)
+        self.assertEqual(["renew"], self.memory.calls)
+
+    def test_new_session_takes_a_new_floor(self):
+        before = self.session.floor
+        sessions.forget(self.session)
+        sessions.confirm(self.session)
+        self.assertGreater(self.session.floor, before)
+
+    def test_change_is_published(self):
+        sessions.announce(self.session, state=fleets.DRAINING)
+        sessions.confirm(self.session)
+        item = self.memory.items[fleets.NODES + "n1"]
+        member = fleets.decode_member(item.value)
+        self.assertEqual(fleets.DRAINING, member.state)
+
+    def test_close_removes_the_entry(self):
+        sessions.close(self.session)
+        self.assertNotIn(fleets.NODES + "n1", self.memory.items)
--- /dev/null
+++ b/packages/assignment/tests/test_tables.py
@@ -0,0 +1,59 @@
+"""Tests of waxwinglever_assignment.tables."""
+
+import hypothesis
+import testtools
+from hypothesis import strategies
+
+from waxwinglever_assignment import tables
+from waxwinglever_model import exceptions
+
+HALF = (tables.LAST_SHARD + 1) // 2
+TABLE = tables.deal("s", [("a", "a@1", HALF), ("b", "b@1", HALF)])
+
+
+class TablesTest(testtools.TestCase):
+    """Guards against shards with two owners, with none, or an old fence."""
+
+    def test_gap_or_overlap_is_refused(self):
+        for first, last in ((1, 65_535), (0, 65_534), (0, 70_000)):
+            item = tables.Range(first, last, "a", "a@1", 1)
+            self.assertRaises(ValueError, tables.Table, "s", (item,), 2)
+
+    def test_change_of_owner_takes_a_new_fence(self):
+        fence = TABLE.ranges[0].fence
+        moved = tables.replace(
+            TABLE, {fence: {"node": "b", "instance": "b@1"}}
+        )
+        self.assertEqual(TABLE.next_fence, moved.ranges[0].fence)
+        self.assertEqual(TABLE.next_fence + 1, moved.next_fence)
+        self.assertEqual(TABLE.ranges[1], moved.ranges[1])
+
+    def test_naming_the_next_owner_keeps_the_fence(self):
+        fence = TABLE.ranges[0].fence
+        moving = tables.replace(TABLE, {fence: {"to_node": "b"}})
+        self.assertEqual(fence, moving.ranges[0].fence)
+        self.assertEqual("a", moving.ranges[0].node)
+
+    def test_unreadable_record_is_an_error(self):
+        for data in (b"", b"{}", b'{"service": 1}', b"\xff"):
+            self.assertRaises(exceptions.InvalidInput, tables.decode, data)
+
+    def test_encoding_keeps_the_table(self):
+        self.assertEqual(TABLE, tables.decode(tables.encode(TABLE)))
+
+    @hypothesis.given(
+        strategies.lists(
+            strategies.integers(0, tables.LAST_SHARD), max_size=8
+        )
+    )
+    def test_split_keeps_owners_and_uses_fences_once(self, cuts):
+        table = TABLE
+        for item in TABLE.ranges:
+            table = tables.split(table, item.fence, cuts)
+        fences = [item.fence for item in table.ranges]
+        self.assertEqual(len(fences), len(set(fences)))
+        for shard in cuts + [0, HALF - 1, HALF, tables.LAST_SHARD]:
+            self.assertEqual(
+                tables.range_of(TABLE, shard).node,
+                tables.range_of(table, shard).node,
+            )
--- a/packages/relay/src/waxwinglever_relay/delivery.py
+++ b/packages/relay/src/waxwinglever_relay/delivery.py
@@ -8,6 +8,7 @@
 from waxwinglever_admission import gate as gates
 from waxwinglever_assignment import fleet as fleets
 from waxwinglever_assignment import holder as holders
+from waxwinglever_assignment import loads
 from waxwinglever_model import clock
 from waxwinglever_model import exceptions
 from waxwinglever_relay import backend as backends
@@ -53,8 +54,7 @@
       log: Called with an event name and fields.
       closed_since_s: Since when the zone is closed, or None.
       failures: Failed connections in a row.
-      in_flight: Requests that are here now.
-      loads: Requests by shard bucket since the last report.
+      meter: Requests by bucket of shards.
     """
 
     backend: backends.Backend
@@ -65,7 +65,7 @@
     now: Callable[[], float] = clock.boottime_s
     closed_since_s: float | None = None
     failures: int = 0
-    in_flight: int = 0
+    meter: loads.Meter = attrs.Factory(loads.Meter)
 
 
 def deliver(
@@ -78,6 +78,8 @@
       CallerLeft: Nobody waits for the answer.
     """
     check(desk, request)
+    if request.shard is not None:
+        loads.count(desk.meter, request.shard)
     wait_cold_turn(desk, request)
     work = gates.Work(
         request.route, request.deadline_s, messages.fingerprint(request)
--- a/tools/check_imports.py
+++ b/tools/check_imports.py
@@ -10,10 +10,11 @@
     ("model",),
     ("records", "telemetry"),
     ("store", "peers", "backend"),
-    ("placement", "admission", "routing"),
+    ("placement", "admission", "routing", "assignment"),
+    ("relay",),
     ("ownership",),
     ("front",),
-    ("daemon", "cli"),
+    ("daemon", "cli", "platform"),
     ("standins", "bench"),
 )
 ORDER = tuple(name for layer in LAYERS for name in layer)
@@ -83,9 +84,10 @@
 
 def main() -> int:
     top = pathlib.Path(__file__).resolve().parent.parent
-    roots = sorted(top.glob("packages/*/src"))
+    folders = sorted(top.glob("packages/*")) + [top / "platform"]
+    roots = [folder / "src" for folder in folders]
     findings = []
-    for folder in sorted(top.glob("packages/*")):
+    for folder in folders:
         for path in sorted(folder.rglob("*.py")):
             is_test = "tests" in path.relative_to(folder).parts
             findings += check_source(folder.name, path, roots, is_test)
