Carry owners through an outage of the store by promises

Relaying store calls by peers does not help when the store is down for all. Longer sessions were ruled out, as every lost machine would keep its ranges for as long.

While it waits for its backend server it keeps its ranges.

--- a/packages/assignment/src/waxwinglever_assignment/fleet.py
+++ b/packages/assignment/src/waxwinglever_assignment/fleet.py
@@ -5,16 +5,24 @@
 import attrs
 import msgspec
 
+from waxwinglever_assignment import promises
 from waxwinglever_assignment import replicas
 from waxwinglever_assignment import tables
+from waxwinglever_model import clock
 from waxwinglever_model import exceptions
 
 PREFIX = "waxwinglever/"
 NODES = PREFIX + "nodes/"
 TABLES = PREFIX + "ranges/"
-SUSPECTS = PREFIX + "suspects/"
 PLANNER = PREFIX + "planner"
+VOTERS = PREFIX + "voters"
 
+# A member without an entry is still asked for this long.
+LINGER_S = 1.0
+
+# The daemon has just started and has not heard its backend server, which may
+# hold ranges that an earlier life of the daemon granted.
+STARTING = "starting"
 READY = "ready"
 DRAINING = "draining"
 # The daemon has found that the backend server does not answer; no grant of it
@@ -35,7 +43,7 @@
       instance: Life of the backend server, or '' before it was heard.
       instance_id: The id under which the backend server knows itself.
       slots: Requests that it runs at a time.
-      state: READY, DRAINING or DOWN.
+      state: STARTING, READY, DRAINING or DOWN.
       cold: Whether it is in its cold start.
       leaving: Whether the daemon is about to stop.
     """
@@ -48,7 +56,7 @@
     instance: str = ""
     instance_id: str = ""
     slots: int = 0
-    state: str = DOWN
+    state: str = STARTING
     cold: bool = False
     leaving: bool = False
 
@@ -77,12 +85,16 @@
       replica: Copy of the store below PREFIX.
       log: Called with an event name and fields.
       decoded: Decoded values and their versions, by key.
+      member_list: Members, and the state of the replica they belong to.
+      departed: Members whose entries have gone, and when that was seen.
     """
 
     replica: replicas.Replica
     log: Callable[..., None]
     decoded: dict[str, tuple[int, object]] = attrs.Factory(dict)
+    now: Callable[[], float] = clock.boottime_s
     member_list: tuple[int, tuple[Member, ...]] = (-1, ())
+    departed: dict[str, tuple[Member, float]] = attrs.Factory(dict)
 
 
 def read(fleet: Fleet, key: str, decode: Callable[[bytes], object]) -> object:
@@ -108,10 +120,41 @@
     if fleet.member_list[0] != at:
         keys = sorted(k for k in list(fleet.replica.items) if k.startswith(NODES))
         found = (read(fleet, key, decode_member) for key in keys)
+        before = fleet.member_list[1]
         fleet.member_list = (at, tuple(m for m in found if m is not None))
+        note_departed(fleet, before)
     return fleet.member_list[1]
 
 
+def note_departed(fleet: Fleet, before: tuple[Member, ...]) -> None:
+    """Remembers the members whose entries have gone since."""
+    present = {item.name for item in fleet.member_list[1]}
+    for item in before:
+        if item.name not in present:
+            fleet.departed[item.name] = (item, fleet.now())
+    for name in present & set(fleet.departed):
+        del fleet.departed[name]
+
+
+def reachable(fleet: Fleet, name: str) -> Member | None:
+    """Returns a member, also for a while after its entry has gone.
+
+    Entries that lapse during an outage of the store come back right after its
+    return, and their nodes serve all the while.
+    """
+    members(fleet)
+    current = member(fleet, name)
+    if current is not None:
+        return current
+    found, gone_s = fleet.departed.get(name, (None, 0.0))
+    return found if fleet.now() - gone_s < LINGER_S else None
+
+
+def voters(fleet: Fleet) -> promises.Voters | None:
+    """Returns the record of the voters, or None."""
+    return read(fleet, VOTERS, promises.decode)
+
+
 def member(fleet: Fleet, name: str) -> Member | None:
     """Returns one member, or None when it has no entry."""
     return read(fleet, NODES + name, decode_member)
--- a/packages/assignment/src/waxwinglever_assignment/holder.py
+++ b/packages/assignment/src/waxwinglever_assignment/holder.py
@@ -28,6 +28,9 @@
 CALL_TIMEOUT_S = 0.4
 # A release is answered when the work on its keys has ended.
 RELEASE_TIMEOUT_S = 1.5
+# Ranges are handed over only when the store has confirmed the session within
+# this time.
+IN_TOUCH_S = 1.2
 # Calls to the backend server at a time; one without an answer must not delay
 # the renewal of all other ranges.
 CALLERS = 4
@@ -86,7 +89,10 @@
     held: dict[int, float] = attrs.Factory(dict)
     ranges: dict[int, tables.Range] = attrs.Factory(dict)
     leaving: set[int] = attrs.Factory(set)
-    latest_end_s: float = float("-inf")
+    # An earlier life of the daemon may have granted ranges just before.
+    latest_end_s: float = attrs.Factory(
+        lambda self: self.now() + sessions.RELEASED_S, takes_self=True
+    )
     instance: str = ""
     lock: threading.Lock = attrs.Factory(threading.Lock)
     callers: futures.ThreadPoolExecutor = attrs.Factory(
@@ -163,7 +169,7 @@
             holder.held.clear()
             holder.ranges.clear()
             holder.leaving.clear()
-    if table is None or me.state == fleets.DOWN or not me.instance:
+    if table is None or not me.instance or me.state == fleets.DOWN:
         return
     mine = tables.owned(table, holder.name)
     drop_others(holder, {item.fence for item in mine})
@@ -242,11 +248,13 @@
     moving = [
         item for item in tables.owned(table, holder.name) if item.to_node
     ]
-    if not moving:
+    if not moving or holder.now() - holder.session.confirmed_s > IN_TOUCH_S:
+        # What is released while the store is away can't be passed on.
         return
     with holder.lock:
         holder.leaving |= {item.fence for item in moving}
-    if me.state == fleets.DOWN or moving[0].instance != me.instance:
+    unknown = me.state in (fleets.DOWN, fleets.STARTING)
+    if unknown or moving[0].instance != me.instance:
         # Nothing can be released; what was granted must run out.
         if holder.now() < holder.latest_end_s:
             return
@@ -274,7 +282,7 @@
             )
             with holder.lock:
                 end_s = holder.held.get(item.fence, float("-inf"))
-            ended = holder.now() >= end_s * 1.0 + margin_s()
+            ended = holder.now() >= end_s + margin_s()
             return item.fence, "" if ended else None
 
     found = dict(holder.callers.map(one, moving))
--- a/packages/assignment/src/waxwinglever_assignment/planner.py
+++ b/packages/assignment/src/waxwinglever_assignment/planner.py
@@ -6,12 +6,14 @@
 
 import threading
 from collections.abc import Callable, Mapping, Sequence
+from concurrent import futures
 
 import attrs
 
 from waxwinglever_assignment import fleet as fleets
 from waxwinglever_assignment import loads
 from waxwinglever_assignment import planning
+from waxwinglever_assignment import promises
 from waxwinglever_assignment import sessions
 from waxwinglever_assignment import tables
 from waxwinglever_model import clock
@@ -46,11 +48,17 @@
       services: Returns the names of keyed services in force.
       closed_zones: Returns the zones that get no work.
       ask: Returns the load report of a member; raises PeerUnavailable.
+      ask_word: Asks a voter for its word about an owner (promises.give_word);
+        raises PeerUnavailable.
       log: Called with an event name and fields.
       missing: When each owner without an entry was first missed.
       joined: Number of ready members of a service, and since when.
       balanced_s: When ranges of a service last moved for balance.
       reports: Newest load reports by member.
+      cleared: Owners whose voters have given their word.
+      voters_s: When the present list of voters was first seen, with its
+        version.
+      askers: Threads that ask voters.
       leading: Whether this node is the planner.
     """
 
@@ -60,12 +68,18 @@
     services: Callable[[], Sequence[str]]
     closed_zones: Callable[[], frozenset[str]]
     ask: Callable[[fleets.Member], loads.Report]
+    ask_word: Callable[[str, str], float | None]
     log: Callable[..., None]
     now: Callable[[], float] = clock.boottime_s
     missing: dict[str, float] = attrs.Factory(dict)
     joined: dict[str, tuple[int, float]] = attrs.Factory(dict)
     balanced_s: dict[str, float] = attrs.Factory(dict)
     reports: dict[str, loads.Report] = attrs.Factory(dict)
+    cleared: set[str] = attrs.Factory(set)
+    voters_s: tuple[int, float] = (-1, 0.0)
+    askers: futures.ThreadPoolExecutor = attrs.Factory(
+        lambda: futures.ThreadPoolExecutor(promises.MOST_VOTERS, "voters")
+    )
     leading: bool = False
     stopping: threading.Event = attrs.Factory(threading.Event)
 
@@ -84,6 +98,7 @@
             take_seat(planner)
             if planner.leading:
                 track_missing(planner)
+                keep_voters(planner)
                 for service in planner.services():
                     plan_service(planner, service)
         except exceptions.Conflict:
@@ -144,6 +159,82 @@
     for name in list(planner.missing):
         if name in present or name not in owners:
             del planner.missing[name]
+    planner.cleared &= set(planner.missing)
+
+
+def gone(planner: Planner) -> frozenset[str]:
+    """Returns the owners whose ranges may be taken."""
+    found = set()
+    for name, since_s in planner.missing.items():
+        missing_s = planner.now() - since_s
+        if missing_s < sessions.RELEASED_S:
+            continue
+        if missing_s >= promises.EXPIRED_S or is_cleared(planner, name):
+            found.add(name)
+    return frozenset(found)
+
+
+def is_cleared(planner: Planner, name: str) -> bool:
+    """Asks the voters for their word about an owner.
+
+    Returns:
+      Whether a majority, of the list before as well, has no promise to it
+      outstanding.
+    """
+    if name in planner.cleared:
+        return True
+    record = fleets.voters(planner.fleet)
+    if record is None:
+        # Nobody can have promised anything yet.
+        return True
+    voters = sorted({*record.names, *record.before} - {name})
+
+    def ask(voter: str) -> str | None:
+        try:
+            return voter if planner.ask_word(voter, name) == 0.0 else None
+        except exceptions.WaxwingleverError as error:
+            planner.log("voter-silent", voter=voter, error=error.message)
+            return None
+
+    agreeing = [v for v in planner.askers.map(ask, voters) if v is not None]
+    cleared = promises.is_majority(
+        record.names, agreeing
+    ) and promises.is_majority(record.before, agreeing)
+    planner.log(
+        "owner-gone" if cleared else "owner-not-cleared",
+        node_name=name,
+        missing_s=round(planner.now() - planner.missing[name], 3),
+        voters=len(voters),
+        agreeing=len(agreeing),
+    )
+    if cleared:
+        planner.cleared.add(name)
+    return cleared
+
+
+def keep_voters(planner: Planner) -> None:
+    """Writes the list of voters when it should change and may."""
+    item = planner.fleet.replica.items.get(fleets.VOTERS)
+    version = item.version if item is not None else leased.ABSENT
+    now_s = planner.now()
+    if planner.voters_s[0] != version:
+        planner.voters_s = (version, now_s)
+    present = [
+        (member.name, member.zone) for member in fleets.members(planner.fleet)
+    ]
+    record = fleets.voters(planner.fleet)
+    waited_s = now_s - planner.voters_s[1]
+    if waited_s < (promises.CHANGE_S if record is not None else SETTLE_S):
+        return
+    wanted = promises.next_voters(record, present)
+    if wanted is None:
+        return
+    planner.store.commit(
+        {fleets.VOTERS: version},
+        [leased.Write(fleets.VOTERS, promises.encode(wanted))],
+        [],
+    )
+    planner.log("voters-changed", names=wanted.names, before=wanted.before)
 
 
 def plan_service(planner: Planner, service: str) -> None:
@@ -158,17 +249,12 @@
         make_first(planner, service, members)
         return
     now_s = planner.now()
-    gone = frozenset(
-        name
-        for name, since_s in planner.missing.items()
-        if now_s - since_s >= sessions.RELEASED_S
-    )
     names = {member.name for member in members}
     reports = {n: r for n, r in planner.reports.items() if n in names}
     situation = planning.Situation(
         table,
         members,
-        gone,
+        gone(planner),
         planner.closed_zones(),
         loads.merged(reports),
         capacities(members, reports),
--- a/packages/assignment/src/waxwinglever_assignment/planning.py
+++ b/packages/assignment/src/waxwinglever_assignment/planning.py
@@ -154,6 +154,12 @@
 def place(situation: Situation, draft: Draft) -> None:
     """Finds owners for ranges that can't stay where they are."""
     present = {member.name for member in situation.members}
+    starting = {
+        member.name
+        for member in situation.members
+        if member.state == fleets.STARTING
+        and member.zone not in situation.closed_zones
+    }
     homeless = []
     for item in situation.table.ranges:
         rate = rate_of(draft, item.first, item.last)
@@ -162,6 +168,8 @@
                 homeless.append((rate, item))
             continue
         target = item.to_node or item.node
+        if target in starting:
+            continue
         if target in draft.candidates:
             draft.demand[target] += rate
         elif item.node in draft.candidates:
--- a/packages/assignment/src/waxwinglever_assignment/sessions.py
+++ b/packages/assignment/src/waxwinglever_assignment/sessions.py
@@ -2,7 +2,8 @@
 
 The entry tells the others where the node is and what runs beside it. Its
 confirmation carries the right to hold ranges: whoever takes ranges away first
-waits until every confirmation that was possible has run out.
+waits until every confirmation that was possible has run out. While the store
+is away, promises of other nodes take the place of confirmations.
 """
 
 import threading
@@ -11,6 +12,7 @@
 import attrs
 
 from waxwinglever_assignment import fleet as fleets
+from waxwinglever_assignment import promises
 from waxwinglever_model import clock
 from waxwinglever_model import exceptions
 from waxwinglever_store import leased
@@ -44,6 +46,8 @@
       floor: Store version of the first entry of this session. Ownership
         records older than that don't count.
       confirmed_s: When the last successful confirmation was begun.
+      promised_s: When the last round of promises with a majority was begun.
+      ask_promises: Asks the voters; returns whether a majority promised.
       doubtful: Whether a call has failed since the entry was last read.
       lost: Whether the last confirmation failed.
       wake: Set when `member` changed or the thread must end.
@@ -54,7 +58,9 @@
     member: fleets.Member
     entry: Callable[[], leased.Item | None]
     log: Callable[..., None]
+    ask_promises: Callable[[], bool] = lambda: False
     now: Callable[[], float] = clock.boottime_s
+    promised_s: float = float("-inf")
     lease: int = leased.NO_LEASE
     published: fleets.Member | None = None
     floor: int = 0
@@ -67,7 +73,22 @@
 
 def valid_until_s(session: Session) -> float:
     """Returns until when the node may hold ranges."""
-    return session.confirmed_s + VALID_S
+    return max(
+        session.confirmed_s + VALID_S,
+        min(
+            session.promised_s + promises.PROMISE_S,
+            session.confirmed_s + promises.EXTENSION_S,
+        ),
+    )
+
+
+def extend(session: Session) -> None:
+    """Asks for promises while the store can't confirm the session."""
+    began_s = session.now()
+    if began_s - session.confirmed_s >= promises.EXTENSION_S:
+        return
+    if session.ask_promises():
+        session.promised_s = began_s
 
 
 def announce(session: Session, **fields: object) -> None:
@@ -109,6 +130,7 @@
                     valid_s=round(valid_until_s(session) - session.now(), 3),
                     error=error.message,
                 )
+            extend(session)
         session.wake.wait(max(0.0, began_s + pause_s - session.now()))
 
 
@@ -182,6 +204,7 @@
     session.lease = leased.NO_LEASE
     session.published = None
     session.confirmed_s = float("-inf")
+    session.promised_s = float("-inf")
 
 
 def close(session: Session) -> None:
--- a/packages/relay/src/waxwinglever_relay/backend.py
+++ b/packages/relay/src/waxwinglever_relay/backend.py
@@ -64,7 +64,7 @@
       born_ms: When its life began.
       sequence: Sequence of its newest announcement.
       slots: Requests that it runs at a time.
-      state: fleets.READY, fleets.DRAINING or fleets.DOWN.
+      state: State in the member's entry.
       left_s: When it announced that it leaves.
       cold_until_s: When its cold start ends.
       cold_next_s: When the next request may be sent while it is cold.
@@ -85,7 +85,7 @@
     born_ms: int = 0
     sequence: int = -1
     slots: int = FIRST_SLOTS
-    state: str = fleets.DOWN
+    state: str = fleets.STARTING
     left_s: float = float("inf")
     cold_until_s: float = float("-inf")
     cold_next_s: float = float("-inf")
@@ -200,6 +200,14 @@
         backend.state = state
 
 
+def end_start(backend: Backend) -> None:
+    """Gives up waiting for the first announcement."""
+    with backend.lock:
+        if backend.state == fleets.STARTING:
+            set_state(backend, fleets.DOWN, "silent since the start")
+            publish(backend)
+
+
 def mark_down(backend: Backend, why: str) -> None:
     """Notes that the backend server takes no connections."""
     with backend.lock:
--- a/packages/relay/src/waxwinglever_relay/messages.py
+++ b/packages/relay/src/waxwinglever_relay/messages.py
@@ -77,6 +77,16 @@
     kind = "caller-left"
 
 
+class Shed(exceptions.Overloaded):
+    """The backend server itself refused the request.
+
+    It has not run, but it has reached a backend server, so another send counts
+    as a repeat.
+    """
+
+    kind = "shed"
+
+
 def caller_left() -> CallerLeft:
     """Returns the error for a request that nobody waits for."""
     return CallerLeft("the caller has left", "nothing is to be done")
--- a/packages/relay/src/waxwinglever_relay/origin.py
+++ b/packages/relay/src/waxwinglever_relay/origin.py
@@ -41,7 +41,7 @@
         was sent.
       log: Called with an event name and fields.
       choices: Choice of nodes for services without keys.
-      retries: Budget of extra sends.
+      retries: Budget of extra sends, by service.
     """
 
     name: str
@@ -55,9 +55,7 @@
     log: Callable[..., None]
     now: Callable[[], float] = clock.boottime_s
     choices: balancers.Balancer = attrs.Factory(balancers.Balancer)
-    retries: budgets.Budget = attrs.Factory(
-        lambda: budgets.Budget(RETRY_RATIO, RETRY_BURST)
-    )
+    retries: dict[str, budgets.Budget] = attrs.Factory(dict)
 
 
 @attrs.define(eq=False)
@@ -97,7 +95,7 @@
       Refusal: It has not run, or its outcome is unknown.
       CallerLeft: The caller has closed its connection.
     """
-    budgets.deposit(origin.retries)
+    budgets.deposit(budget(origin, request.service))
     while True:
         tries.seen = origin.fleet.replica.changed
         member = choose(origin, request, tries)
@@ -134,6 +132,7 @@
         return answer
     except exceptions.NotRun as error:
         outcome = error.kind
+        tries.sent += isinstance(error, messages.Shed)
         tries.refused.append(member.name)
         raise
     except exceptions.PeerUnavailable as error:
@@ -193,7 +192,7 @@
     if table is None or request.shard is None:
         return None
     item = tables.range_of(table, request.shard)
-    return fleets.member(origin.fleet, item.node)
+    return fleets.reachable(origin.fleet, item.node)
 
 
 def may_resend(
@@ -207,6 +206,10 @@
         return False
     if origin.now() >= request.target_s:
         return False
+    if isinstance(tries.last, messages.Shed):
+        return tries.sent < request.max_attempts and budgets.withdraw(
+            budget(origin, request.service)
+        )
     if request.keyed:
         return await_owner(origin, request, tries, caller)
     return not isinstance(tries.last, exceptions.RefusedForGood)
@@ -245,10 +248,20 @@
         request.repeatable
         and tries.sent < request.max_attempts
         and origin.now() < request.target_s
-        and budgets.withdraw(origin.retries)
+        and budgets.withdraw(budget(origin, request.service))
     )
 
 
+def budget(origin: Origin, service: str) -> budgets.Budget:
+    """Returns the budget of extra sends to a service."""
+    found = origin.retries.get(service)
+    if found is None:
+        found = origin.retries.setdefault(
+            service, budgets.Budget(RETRY_RATIO, RETRY_BURST)
+        )
+    return found
+
+
 def no_node(
     request: messages.Request, why: str
 ) -> exceptions.BackendUnavailable:
