--- a/packages/assignment/src/waxwinglever_assignment/fleet.py
+++ b/packages/assignment/src/waxwinglever_assignment/fleet.py
@@ -61,9 +61,9 @@
     leaving: bool = False
 
 
-def encode_member(member: Member) -> bytes:
+def encode_member(item: Member) -> bytes:
     """Returns the bytes of a member's entry."""
-    return msgspec.json.encode(member)
+    return msgspec.json.encode(item)
 
 
 def decode_member(data: bytes) -> Member:
@@ -118,7 +118,9 @@
     """Returns all members with an entry, by name."""
     at = fleet.replica.changed
     if fleet.member_list[0] != at:
-        keys = sorted(k for k in list(fleet.replica.items) if k.startswith(NODES))
+        keys = sorted(
+            k for k in list(fleet.replica.items) if k.startswith(NODES)
+        )
         found = (read(fleet, key, decode_member) for key in keys)
         before = fleet.member_list[1]
         fleet.member_list = (at, tuple(m for m in found if m is not None))
--- a/packages/assignment/src/waxwinglever_assignment/holder.py
+++ b/packages/assignment/src/waxwinglever_assignment/holder.py
@@ -86,8 +86,8 @@
     orders: Orders
     log: Callable[..., None]
     now: Callable[[], float] = clock.boottime_s
-    held: dict[int, float] = attrs.Factory(dict)
-    ranges: dict[int, tables.Range] = attrs.Factory(dict)
+    held: dict[int, float] = attrs.field(factory=dict)
+    ranges: dict[int, tables.Range] = attrs.field(factory=dict)
     leaving: set[int] = attrs.Factory(set)
     # An earlier life of the daemon may have granted ranges just before.
     latest_end_s: float = attrs.Factory(
@@ -245,9 +245,7 @@
     me = holder.session.member
     if table is None:
         return
-    moving = [
-        item for item in tables.owned(table, holder.name) if item.to_node
-    ]
+    moving = [item for item in tables.owned(table, holder.name) if item.to_node]
     if not moving or holder.now() - holder.session.confirmed_s > IN_TOUCH_S:
         # What is released while the store is away can't be passed on.
         return
@@ -264,9 +262,7 @@
     pass_on(holder, tokens)
 
 
-def release(
-    holder: Holder, moving: list[tables.Range]
-) -> dict[int, str]:
+def release(holder: Holder, moving: list[tables.Range]) -> dict[int, str]:
     """Returns the handover tokens of released ranges, by fence.
 
     A range whose release is not answered counts as released when its last
--- a/packages/assignment/src/waxwinglever_assignment/planner.py
+++ b/packages/assignment/src/waxwinglever_assignment/planner.py
@@ -95,12 +95,7 @@
             )
             known = replica.changed
         try:
-            take_seat(planner)
-            if planner.leading:
-                track_missing(planner)
-                keep_voters(planner)
-                for service in planner.services():
-                    plan_service(planner, service)
+            plan_all(planner)
         except exceptions.Conflict:
             # The record or the seat has changed; the watch brings it.
             planner.stopping.wait(0.02)
@@ -109,6 +104,17 @@
             planner.stopping.wait(PASS_S)
 
 
+def plan_all(planner: Planner) -> None:
+    """Makes one pass; raises Conflict when another one was quicker."""
+    take_seat(planner)
+    if not planner.leading:
+        return
+    track_missing(planner)
+    keep_voters(planner)
+    for service in planner.services():
+        plan_service(planner, service)
+
+
 def in_touch(planner: Planner) -> bool:
     """Returns whether the store has confirmed this node lately."""
     return planner.now() - planner.session.confirmed_s < IN_TOUCH_S
--- a/packages/assignment/src/waxwinglever_assignment/planning.py
+++ b/packages/assignment/src/waxwinglever_assignment/planning.py
@@ -121,7 +121,9 @@
     }
     if not candidates:
         return table
-    draft = Draft(candidates, dict.fromkeys(candidates, 0.0), sums_of(situation))
+    draft = Draft(
+        candidates, dict.fromkeys(candidates, 0.0), sums_of(situation)
+    )
     place(situation, draft)
     if draft.changes:
         return tables.replace(table, draft.changes)
@@ -180,12 +182,9 @@
             homeless.append((rate, item))
     homeless.sort(key=lambda pair: (-pair[0], pair[1].first))
     for rate, item in homeless:
-        name = min(
-            draft.candidates,
-            key=lambda name: (
-                (draft.demand[name] + rate) / situation.capacities[name],
-                name,
-            ),
+        _, name = min(
+            ((draft.demand[name] + rate) / situation.capacities[name], name)
+            for name in draft.candidates
         )
         draft.demand[name] += rate
         if item.node in present:
@@ -204,17 +203,17 @@
     table = situation.table
     capacities = situation.capacities
     for _ in range(MAX_BALANCE_MOVES):
-        shares = {
-            name: draft.demand[name] / capacities[name]
+        shares = [
+            (draft.demand[name] / capacities[name], name)
             for name in draft.candidates
-        }
-        busiest = max(shares, key=lambda name: (shares[name], name))
-        calmest = min(shares, key=lambda name: (shares[name], name))
+        ]
+        most, busiest = max(shares)
+        least, calmest = min(shares)
         mean = sum(draft.demand.values()) / sum(
             capacities[name] for name in draft.candidates
         )
-        empty = shares[calmest] < EMPTY_SHARE * mean
-        if shares[busiest] < RELIEF_FROM and not empty:
+        empty = least < EMPTY_SHARE * mean
+        if most < RELIEF_FROM and not empty:
             break
         found = best_cut(
             [
@@ -230,7 +229,7 @@
             break
         after, item, first, last = found
         needed = mean * BALANCE_GAIN if empty else BALANCE_GAIN
-        if shares[busiest] - after < needed:
+        if most - after < needed:
             break
         rate = rate_of(draft, first, last)
         draft.demand[busiest] -= rate
@@ -264,15 +263,11 @@
     def consider(item: tables.Range, first: int, last: int) -> None:
         nonlocal best
         rate = rate_of(draft, first, last)
-        after = max(
-            (giver[0] - rate) / giver[1], (taker[0] + rate) / taker[1]
-        )
+        after = max((giver[0] - rate) / giver[1], (taker[0] + rate) / taker[1])
         if best is None or after < best[0] - 1e-9:
             best = (after, item, first, last)
 
-    wanted = (giver[0] * taker[1] - taker[0] * giver[1]) / (
-        giver[1] + taker[1]
-    )
+    wanted = (giver[0] * taker[1] - taker[0] * giver[1]) / (giver[1] + taker[1])
     for item in ranges:
         consider(item, item.first, item.last)
         if rate_of(draft, item.first, item.last) <= wanted:
--- a/packages/assignment/src/waxwinglever_assignment/tables.py
+++ b/packages/assignment/src/waxwinglever_assignment/tables.py
@@ -98,9 +98,7 @@
     return tuple(item for item in table.ranges if item.node == node)
 
 
-def replace(
-    table: Table, changes: Mapping[int, Mapping[str, object]]
-) -> Table:
+def replace(table: Table, changes: Mapping[int, Mapping[str, object]]) -> Table:
     """Returns the table with fields of some ranges changed.
 
     Args:
@@ -132,7 +130,9 @@
             ranges.append(item)
             continue
         cuts = [item.first]
-        cuts += [cut for cut in sorted(set(at)) if item.first < cut <= item.last]
+        cuts += [
+            cut for cut in sorted(set(at)) if item.first < cut <= item.last
+        ]
         ends = [cut - 1 for cut in cuts[1:]] + [item.last]
         for part, (first, last) in enumerate(zip(cuts, ends)):
             kept = item.fence
--- /dev/null
+++ b/packages/assignment/tests/test_holder.py
@@ -0,0 +1,182 @@
+"""Tests of waxwinglever_assignment.holder."""
+
+import types
+
+import attrs
+import pytest
+import testtools
+
+from waxwinglever_assignment import fleet as fleets
+from waxwinglever_assignment import holder as holders
+from waxwinglever_assignment import replicas
+from waxwinglever_assignment import sessions
+from waxwinglever_assignment import tables
+from waxwinglever_model import exceptions
+from waxwinglever_standins import leased_memory
+from waxwinglever_store import leased
+
+INLINE = types.SimpleNamespace(map=map)
+
+
+@attrs.define(eq=False)
+class Server:
+    """Records the orders that a backend server gets."""
+
+    granted: list[tuple[int, float]] = attrs.field(factory=list)
+    released: list[int] = attrs.field(factory=list)
+    silent: bool = False
+
+    def grant(self, item, hold_s, _):
+        self.granted.append((item.fence, hold_s))
+        if self.silent:
+            raise exceptions.BackendUnavailable("no answer", "none")
+
+    def release(self, item, _):
+        self.released.append(item.fence)
+        if self.silent:
+            raise exceptions.BackendUnavailable("no answer", "none")
+        return "token"
+
+
+@pytest.mark.usefixtures("build")
+class HolderTest(testtools.TestCase):
+    """Guards against grants that outlive the right to make them."""
+
+    # Set by the fixture.
+    build: types.SimpleNamespace = types.SimpleNamespace()
+
+    def setUp(self):
+        super().setUp()
+        self.clock = self.build.Clock()
+        self.memory = leased_memory.Memory(now=self.clock)
+        self.node = self.build.node(self.memory, self.clock, "n1")
+        self.server = Server()
+        self.holder = holders.Holder(
+            "n1",
+            "dispatch",
+            self.node.fleet,
+            self.node.session,
+            self.node.session.store,
+            holders.Orders(self.server.grant, self.server.release),
+            self.build.ignore,
+            now=self.clock,
+            callers=INLINE,
+        )
+        self.write(
+            tables.deal(
+                "dispatch", [("n1", "n1@1", 32_768), ("n2", "n2@1", 32_768)]
+            )
+        )
+        sessions.confirm(self.node.session)
+        self.see()
+
+    def write(self, table):
+        key = fleets.TABLES + "dispatch"
+        store = leased_memory.connect(self.memory)
+        item = store.get(key)
+        store.commit(
+            {key: item.version if item else 0},
+            [leased.Write(key, tables.encode(table))],
+            [],
+        )
+
+    def see(self):
+        replicas.load(self.node.replica)
+
+    def table(self):
+        item = self.memory.items[fleets.TABLES + "dispatch"]
+        return tables.decode(item.value)
+
+    def move_first(self):
+        table = tables.replace(self.table(), {1: {"to_node": "n2"}})
+        self.write(table)
+        other = self.build.node(self.memory, self.clock, "n2")
+        sessions.confirm(other.session)
+        self.see()
+
+    def test_only_own_ranges_are_granted(self):
+        holders.renew(self.holder)
+        self.assertEqual([1], [fence for fence, _ in self.server.granted])
+        self.assertEqual(1, holders.fence_for(self.holder, 100))
+        self.assertIsNone(holders.fence_for(self.holder, 40_000))
+
+    def test_grant_ends_with_the_session(self):
+        self.clock.now_s += 0.8
+        holders.renew(self.holder)
+        hold_s = self.server.granted[0][1]
+        slow_end_s = self.clock.now_s + hold_s * holders.CLOCK_FACTOR
+        self.assertLessEqual(
+            slow_end_s, sessions.valid_until_s(self.node.session)
+        )
+
+    def test_nothing_is_granted_without_a_valid_session(self):
+        self.clock.now_s += sessions.VALID_S
+        holders.renew(self.holder)
+        self.assertEqual([], self.server.granted)
+
+    def test_nothing_is_granted_on_a_record_from_before_the_session(self):
+        self.node.session.floor = self.node.replica.version + 1
+        holders.renew(self.holder)
+        self.assertEqual([], self.server.granted)
+
+    def test_unanswered_grant_serves_nobody(self):
+        self.server.silent = True
+        holders.renew(self.holder)
+        self.assertIsNone(holders.fence_for(self.holder, 100))
+
+    def test_held_shards_are_served_until_the_hold_ends(self):
+        holders.renew(self.holder)
+        self.clock.now_s += self.server.granted[0][1] + 0.01
+        self.assertIsNone(holders.fence_for(self.holder, 100))
+
+    def test_handover_carries_the_token_and_a_new_fence(self):
+        holders.renew(self.holder)
+        self.move_first()
+        sessions.confirm(self.node.session)
+        holders.hand_over(self.holder)
+        moved = self.table().ranges[0]
+        self.assertEqual(("n2", "n2@1"), (moved.node, moved.instance))
+        self.assertEqual("token", moved.handover)
+        self.assertGreater(moved.fence, 2)
+        self.assertIsNone(holders.fence_for(self.holder, 100))
+
+    def test_unanswered_release_waits_for_the_end_of_the_grant(self):
+        holders.renew(self.holder)
+        self.move_first()
+        self.server.silent = True
+        holders.hand_over(self.holder)
+        self.assertEqual("n1", self.table().ranges[0].node)
+        self.clock.now_s += sessions.VALID_S + holders.margin_s()
+        sessions.confirm(self.node.session)
+        holders.hand_over(self.holder)
+        moved = self.table().ranges[0]
+        self.assertEqual(("n2", ""), (moved.node, moved.handover))
+
+    def test_nothing_is_released_while_the_store_is_away(self):
+        holders.renew(self.holder)
+        self.move_first()
+        self.clock.now_s += holders.IN_TOUCH_S + 0.1
+        holders.hand_over(self.holder)
+        self.assertEqual([], self.server.released)
+
+    def test_new_daemon_waits_for_grants_of_its_earlier_life(self):
+        # It does not know them, and its server has not announced itself.
+        self.move_first()
+        sessions.announce(self.node.session, state=fleets.STARTING, instance="")
+        holders.hand_over(self.holder)
+        self.assertEqual("n1", self.table().ranges[0].node)
+        self.clock.now_s += sessions.RELEASED_S
+        sessions.confirm(self.node.session)
+        holders.hand_over(self.holder)
+        self.assertEqual("n2", self.table().ranges[0].node)
+
+    def test_new_life_of_the_server_takes_new_fences(self):
+        holders.renew(self.holder)
+        sessions.announce(self.node.session, instance="n1@2")
+        holders.renew(self.holder)
+        self.assertIsNone(holders.fence_for(self.holder, 100))
+        self.see()
+        holders.renew(self.holder)
+        claimed = self.table().ranges[0]
+        self.assertEqual(("n1@2", 3), (claimed.instance, claimed.fence))
+        self.assertEqual(3, holders.fence_for(self.holder, 100))
--- a/packages/assignment/tests/test_planning.py
+++ b/packages/assignment/tests/test_planning.py
@@ -1,5 +1,7 @@
 """Tests of waxwinglever_assignment.planning."""
 
+import types
+
 import attrs
 import pytest
 import testtools
@@ -17,7 +19,11 @@
 class PlanningTest(testtools.TestCase):
     """Guards against ranges that move when they must not, or don't when."""
 
+    # Set by the fixture.
+    build: types.SimpleNamespace = types.SimpleNamespace()
+
     def situation(self, **fields) -> planning.Situation:
+        """Returns a calm situation with other values for some fields."""
         members = tuple(self.build.member(name) for name in NAMES)
         values = {
             "table": planning.first_table("dispatch", members, CAPACITIES),
@@ -94,7 +100,9 @@
         planned = planning.plan(attrs.evolve(situation, rates=rates), True)
         moving = [item for item in planned.ranges if item.to_node]
         self.assertEqual(1, len(moving))
-        self.assertEqual(loads.BUCKET_SHARDS, moving[0].last - moving[0].first + 1)
+        self.assertEqual(
+            loads.BUCKET_SHARDS, moving[0].last - moving[0].first + 1
+        )
 
     def test_light_load_moves_nothing(self):
         situation = self.situation()
--- /dev/null
+++ b/packages/assignment/tests/test_promises.py
@@ -0,0 +1,76 @@
+"""Tests of waxwinglever_assignment.promises."""
+
+import types
+
+import pytest
+import testtools
+
+from waxwinglever_assignment import promises
+
+MAJORITIES = (
+    (("a",), ("a",), True),
+    (("a", "b"), ("a",), False),
+    (("a", "b", "c"), ("a", "c"), True),
+    (("a", "b", "c"), ("a", "x", "y"), False),
+    ((), (), True),
+)
+
+
+@pytest.mark.usefixtures("build")
+class PromisesTest(testtools.TestCase):
+    """Guards against a voter that helps both sides."""
+
+    # Set by the fixture.
+    build: types.SimpleNamespace = types.SimpleNamespace()
+
+    def setUp(self):
+        super().setUp()
+        self.clock = self.build.Clock()
+        self.voter = promises.Promises(now=self.clock)
+        self.clock.now_s += promises.DENIAL_S
+
+    def test_word_tells_what_is_outstanding(self):
+        self.assertTrue(promises.promise(self.voter, "n1"))
+        self.clock.now_s += 0.5
+        self.assertAlmostEqual(
+            promises.PROMISE_S - 0.5, promises.give_word(self.voter, "n1")
+        )
+        self.clock.now_s += promises.PROMISE_S
+        self.assertEqual(0.0, promises.give_word(self.voter, "n1"))
+
+    def test_no_promise_after_the_word(self):
+        promises.give_word(self.voter, "n1")
+        self.clock.now_s += promises.DENIAL_S - 0.1
+        self.assertFalse(promises.promise(self.voter, "n1"))
+        self.assertTrue(promises.promise(self.voter, "n2"))
+        self.clock.now_s += 0.2
+        self.assertTrue(promises.promise(self.voter, "n1"))
+
+    def test_new_voter_has_forgotten_and_says_so(self):
+        voter = promises.Promises(now=self.clock)
+        self.assertFalse(promises.promise(voter, "n1"))
+        self.assertIsNone(promises.give_word(voter, "n1"))
+
+    def test_denial_outlasts_any_extension(self):
+        # Otherwise an owner could be denied and promised in one outage.
+        self.assertGreater(promises.DENIAL_S, promises.EXTENSION_S)
+        self.assertGreater(promises.CHANGE_S, promises.EXTENSION_S)
+
+    def test_majority(self):
+        for names, agreeing, expected in MAJORITIES:
+            self.assertEqual(
+                expected, promises.is_majority(names, agreeing), names
+            )
+
+    def test_voters_are_spread_over_zones_and_stay(self):
+        present = [(f"{zone}{n}", zone) for zone in "abc" for n in range(9)]
+        first = promises.next_voters(None, present)
+        self.assertEqual(promises.MOST_VOTERS, len(first.names))
+        self.assertEqual({"a", "b", "c"}, {name[0] for name in first.names})
+        self.assertIsNone(promises.next_voters(first, present))
+        left = [pair for pair in present if pair[0] != first.names[0]]
+        second = promises.next_voters(first, left)
+        self.assertEqual(first.names, second.before)
+        self.assertEqual(
+            set(first.names[1:]), set(first.names) & set(second.names)
+        )
--- a/packages/assignment/tests/test_sessions.py
+++ b/packages/assignment/tests/test_sessions.py
@@ -1,5 +1,7 @@
 """Tests of waxwinglever_assignment.sessions."""
 
+import types
+
 import pytest
 import testtools
 
@@ -15,6 +17,9 @@
 class SessionsTest(testtools.TestCase):
     """Guards against a node that believes in a session that has ended."""
 
+    # Set by the fixture.
+    build: types.SimpleNamespace = types.SimpleNamespace()
+
     def setUp(self):
         super().setUp()
         self.clock = self.build.Clock()
--- a/packages/assignment/tests/test_tables.py
+++ b/packages/assignment/tests/test_tables.py
@@ -21,9 +21,7 @@
 
     def test_change_of_owner_takes_a_new_fence(self):
         fence = TABLE.ranges[0].fence
-        moved = tables.replace(
-            TABLE, {fence: {"node": "b", "instance": "b@1"}}
-        )
+        moved = tables.replace(TABLE, {fence: {"node": "b", "instance": "b@1"}})
         self.assertEqual(TABLE.next_fence, moved.ranges[0].fence)
         self.assertEqual(TABLE.next_fence + 1, moved.next_fence)
         self.assertEqual(TABLE.ranges[1], moved.ranges[1])
@@ -42,9 +40,7 @@
         self.assertEqual(TABLE, tables.decode(tables.encode(TABLE)))
 
     @hypothesis.given(
-        strategies.lists(
-            strategies.integers(0, tables.LAST_SHARD), max_size=8
-        )
+        strategies.lists(strategies.integers(0, tables.LAST_SHARD), max_size=8)
     )
     def test_split_keeps_owners_and_uses_fences_once(self, cuts):
         table = TABLE
--- a/packages/relay/src/waxwinglever_relay/delivery.py
+++ b/packages/relay/src/waxwinglever_relay/delivery.py
@@ -89,9 +89,7 @@
     finish_by_s = min(
         request.deadline_s, max(request.target_s, desk.now() + LATE_WORK_S)
     )
-    work = gates.Work(
-        request.route, finish_by_s, messages.fingerprint(request)
-    )
+    work = gates.Work(request.route, finish_by_s, messages.fingerprint(request))
     with gates.admit(
         desk.backend.gate, work, lambda: check(desk, request)
     ) as admission:
--- a/packages/relay/src/waxwinglever_relay/exchanges.py
+++ b/packages/relay/src/waxwinglever_relay/exchanges.py
@@ -203,9 +203,7 @@
         found.connection.close()
 
 
-def put(
-    client: Client, address: str, link: connection.HTTPConnection
-) -> None:
+def put(client: Client, address: str, link: connection.HTTPConnection) -> None:
     """Keeps a connection for the next request."""
     stale = []
     now_s = clock.boottime_s()
--- a/packages/relay/src/waxwinglever_relay/origin.py
+++ b/packages/relay/src/waxwinglever_relay/origin.py
@@ -73,7 +73,7 @@
     sent: int = 0
     refused: list[str] = attrs.Factory(list)
     last: exceptions.Refusal | None = None
-    path: list[str] = attrs.Factory(list)
+    path: list[str] = attrs.field(factory=list)
     seen: int = 0
 
 
@@ -240,9 +240,7 @@
     return changed
 
 
-def may_repeat(
-    origin: Origin, request: messages.Request, tries: Tries
-) -> bool:
+def may_repeat(origin: Origin, request: messages.Request, tries: Tries) -> bool:
     """Returns whether a request with an unknown outcome may be sent again."""
     return (
         request.repeatable
--- a/packages/relay/src/waxwinglever_relay/routes.py
+++ b/packages/relay/src/waxwinglever_relay/routes.py
@@ -36,9 +36,7 @@
     """
 
     name: str
-    prefix: str = attrs.field(
-        validator=attrs.validators.matches_re(r"/|/.*/")
-    )
+    prefix: str = attrs.field(validator=attrs.validators.matches_re(r"/|/.*/"))
     kind: str = attrs.field(validator=attrs.validators.in_(KINDS))
     shares: tuple[Share, ...] = attrs.field(
         validator=attrs.validators.min_len(1)
@@ -121,7 +119,7 @@
 
 
 def accept(book: Book, config: Config) -> bool:
-    """Takes a configuration into force unless one as new is; never goes back."""
+    """Takes a configuration into force unless it is old; never goes back."""
     with book.lock:
         if book.config is not None and config.version <= book.config.version:
             return False
--- a/packages/standins/src/waxwinglever_standins/leased_memory.py
+++ b/packages/standins/src/waxwinglever_standins/leased_memory.py
@@ -27,7 +27,7 @@
     """
 
     now: Callable[[], float] = clock.boottime_s
-    items: dict[str, leased.Item] = attrs.Factory(dict)
+    items: dict[str, leased.Item] = attrs.field(factory=dict)
     events: list[leased.Change] = attrs.Factory(list)
     version: int = 1
     leases: dict[int, tuple[float, float]] = attrs.Factory(dict)
