--- a/packages/assignment/src/waxwinglever_assignment/loads.py
+++ b/packages/assignment/src/waxwinglever_assignment/loads.py
@@ -14,7 +14,7 @@
 BUCKETS = (tables.LAST_SHARD + 1) // BUCKET_SHARDS
 # Weight of old requests falls to 1/e in this time. Hot keys change within
 # seconds, and a range is worth moving only if it stays hot for some.
-TIME_S = 2.0
+TIME_S = 1.2
 
 
 @attrs.define(eq=False)
--- a/packages/assignment/src/waxwinglever_assignment/planner.py
+++ b/packages/assignment/src/waxwinglever_assignment/planner.py
@@ -26,9 +26,9 @@
 SETTLE_S = 1.0
 # Ranges move for balance this often; the loads follow a move in about this
 # time.
-BALANCE_S = 1.5
+BALANCE_S = 0.8
 # Loads are asked for this often.
-REPORT_S = 0.5
+REPORT_S = 0.3
 # Time that a request holds a slot before any node has measured it.
 FIRST_SERVICE_S = 0.15
 # Moves that are named in one log line.
--- a/packages/assignment/src/waxwinglever_assignment/planning.py
+++ b/packages/assignment/src/waxwinglever_assignment/planning.py
@@ -13,11 +13,11 @@
 # several ranges from all over the shards.
 FIRST_RANGES = 48
 # Below this share of its capacity a node needs no relief.
-RELIEF_FROM = 0.6
+RELIEF_FROM = 0.5
 # A move for balance must lower the share of the busiest node by this much.
 BALANCE_GAIN = 0.08
 # Balance moves under way at a time; each one stops its keys for a moment.
-MAX_BALANCE_MOVES = 3
+MAX_BALANCE_MOVES = 6
 # A record with this many ranges is not cut further.
 MAX_RANGES = 512
 # All shards together count as this many requests a second beside the measured
--- a/packages/assignment/tests/test_holder.py
+++ b/packages/assignment/tests/test_holder.py
@@ -90,10 +90,20 @@
     def move_first(self):
         table = tables.replace(self.table(), {1: {"to_node": "n2"}})
         self.write(table)
+        self.confirm_other()
+
+    def confirm_other(self):
+        """Gives the other node an entry, whose lease ends within seconds."""
         other = self.build.node(self.memory, self.clock, "n2")
         sessions.confirm(other.session)
         self.see()
 
+    def start_session(self):
+        """Opens a session after the last one has ended."""
+        sessions.forget(self.node.session)
+        sessions.confirm(self.node.session)
+        self.confirm_other()
+
     def test_only_own_ranges_are_granted(self):
         holders.renew(self.holder)
         self.assertEqual([1], [fence for fence, _ in self.server.granted])
@@ -147,7 +157,7 @@
         holders.hand_over(self.holder)
         self.assertEqual("n1", self.table().ranges[0].node)
         self.clock.now_s += sessions.VALID_S + holders.margin_s()
-        sessions.confirm(self.node.session)
+        self.start_session()
         holders.hand_over(self.holder)
         moved = self.table().ranges[0]
         self.assertEqual(("n2", ""), (moved.node, moved.handover))
@@ -166,7 +176,7 @@
         holders.hand_over(self.holder)
         self.assertEqual("n1", self.table().ranges[0].node)
         self.clock.now_s += sessions.RELEASED_S
-        sessions.confirm(self.node.session)
+        self.start_session()
         holders.hand_over(self.holder)
         self.assertEqual("n2", self.table().ranges[0].node)
 
