Let renewals arrive before a range is released

A renewal of a range that had just been cut was on its way while the handover thread released the part that moves, so the backend server held that part again under the old fence.

The handover now waits for renewals that are being sent, the next ones leave the range out, and a cut range is no longer served where it moves. A range with an unanswered grant is passed on when that grant must have ended. Three new tests fail without this.

--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,7 @@
 check: env
 	$(VENV)/bin/pyink -q --check packages platform tools
 	$(PY) tools/check_imports.py
+	$(PY) tools/check_wire_names.py
 	$(PY) -m pylint --score=n packages platform/src platform/tests tools
 
 test: check
--- a/packages/assignment/src/waxwinglever_assignment/holder.py
+++ b/packages/assignment/src/waxwinglever_assignment/holder.py
@@ -74,7 +74,10 @@
       leaving: Fences of ranges that are released or being released.
       latest_end_s: When the last grant that was sent ends at the latest.
       instance: Life of the backend server that the grants went to.
-      wake: Set when there may be something to do.
+      unanswered: First and last shard of grants without an answer, and when
+        they end at the latest.
+      sending: Held while renewals are sent.
+      callers: Threads that call the backend server.
       stopping: Ends the threads.
     """
 
@@ -94,7 +97,9 @@
         lambda self: self.now() + sessions.RELEASED_S, takes_self=True
     )
     instance: str = ""
+    unanswered: dict[tuple[int, int], float] = attrs.Factory(dict)
     lock: threading.Lock = attrs.Factory(threading.Lock)
+    sending: threading.Lock = attrs.Factory(threading.Lock)
     callers: futures.ThreadPoolExecutor = attrs.Factory(
         lambda: futures.ThreadPoolExecutor(CALLERS, "grants")
     )
@@ -161,38 +166,52 @@
 
 def renew(holder: Holder) -> None:
     """Grants all ranges of this node that stay here."""
-    table = my_table(holder)
-    me = holder.session.member
-    if holder.instance != me.instance:
+    with holder.sending:
+        me = holder.session.member
+        notice_life(holder, me.instance)
+        table = my_table(holder)
+        if table is None or not me.instance or me.state == fleets.DOWN:
+            return
+        mine = tables.owned(table, holder.name)
+        align(holder, mine)
+        if any(item.instance != me.instance for item in mine):
+            claim(holder, table, me.instance)
+            return
         with holder.lock:
-            holder.instance = me.instance
+            # A range that was kept after all is granted again.
+            holder.leaving &= {item.fence for item in mine if item.to_node}
+            staying = [
+                item
+                for item in mine
+                if not item.to_node and item.fence not in holder.leaving
+            ]
+        list(holder.callers.map(lambda item: grant(holder, item), staying))
+
+
+def notice_life(holder: Holder, instance: str) -> None:
+    """Forgets what an earlier life of the backend server held."""
+    with holder.lock:
+        if holder.instance != instance:
+            holder.instance = instance
             holder.held.clear()
             holder.ranges.clear()
             holder.leaving.clear()
-    if table is None or not me.instance or me.state == fleets.DOWN:
-        return
-    mine = tables.owned(table, holder.name)
-    drop_others(holder, {item.fence for item in mine})
-    if any(item.instance != me.instance for item in mine):
-        claim(holder, table, me.instance)
-        return
-    staying = [
-        item
-        for item in mine
-        if not item.to_node and item.fence not in holder.leaving
-    ]
-    # A range that was kept after all is granted again.
-    with holder.lock:
-        holder.leaving &= {item.fence for item in mine if item.to_node}
-    list(holder.callers.map(lambda item: grant(holder, item), staying))
+            holder.unanswered.clear()
 
 
-def drop_others(holder: Holder, fences: set[int]) -> None:
-    """Forgets ranges that the record gives to others by now."""
+def align(holder: Holder, mine: tuple[tables.Range, ...]) -> None:
+    """Forgets shards that the record gives to others by now.
+
+    A range that was cut keeps its fence for one of its parts.
+    """
+    known = {item.fence: item for item in mine}
     with holder.lock:
-        for fence in [f for f in holder.ranges if f not in fences]:
-            del holder.ranges[fence]
-            del holder.held[fence]
+        for fence in list(holder.ranges):
+            if fence in known:
+                holder.ranges[fence] = known[fence]
+            else:
+                del holder.ranges[fence]
+                del holder.held[fence]
 
 
 def claim(holder: Holder, table: tables.Table, instance: str) -> None:
@@ -224,6 +243,8 @@
         return
     except exceptions.WaxwingleverError as error:
         holder.log("grant-unanswered", fence=item.fence, error=error.message)
+        with holder.lock:
+            holder.unanswered[item.first, item.last] = sent_s + valid_s
         return
     with holder.lock:
         if holder.instance == item.instance:
@@ -241,16 +262,21 @@
 
 def hand_over(holder: Holder) -> None:
     """Releases the ranges that should move and passes them on."""
-    table = my_table(holder)
     me = holder.session.member
+    table = my_table(holder)
     if table is None:
         return
     moving = [item for item in tables.owned(table, holder.name) if item.to_node]
     if not moving or holder.now() - holder.session.confirmed_s > IN_TOUCH_S:
         # What is released while the store is away can't be passed on.
         return
+    align(holder, tables.owned(table, holder.name))
     with holder.lock:
         holder.leaving |= {item.fence for item in moving}
+    with holder.sending:
+        # A renewal that is being sent must not arrive after the release; the
+        # next ones leave these ranges out.
+        pass
     unknown = me.state in (fleets.DOWN, fleets.STARTING)
     if unknown or moving[0].instance != me.instance:
         # Nothing can be released; what was granted must run out.
@@ -282,7 +308,23 @@
             return item.fence, "" if ended else None
 
     found = dict(holder.callers.map(one, moving))
-    return {fence: token for fence, token in found.items() if token is not None}
+    return {
+        item.fence: found[item.fence]
+        for item in moving
+        if found[item.fence] is not None and not may_be_granted(holder, item)
+    }
+
+
+def may_be_granted(holder: Holder, item: tables.Range) -> bool:
+    """Returns whether a grant without an answer may still come into force."""
+    now_s = holder.now()
+    with holder.lock:
+        for key in [k for k, end in holder.unanswered.items() if end <= now_s]:
+            del holder.unanswered[key]
+        return any(
+            first <= item.last and item.first <= last
+            for first, last in holder.unanswered
+        )
 
 
 def margin_s() -> float:
--- a/packages/assignment/tests/test_holder.py
+++ b/packages/assignment/tests/test_holder.py
@@ -1,5 +1,6 @@
 """Tests of waxwinglever_assignment.holder."""
 
+import threading
 import types
 
 import attrs
@@ -190,3 +191,53 @@
         claimed = self.table().ranges[0]
         self.assertEqual(("n1@2", 3), (claimed.instance, claimed.fence))
         self.assertEqual(3, holders.fence_for(self.holder, 100))
+
+    def test_release_waits_for_renewals_on_their_way(self):
+        # A renewal that arrives after the release would be in force beside
+        # the next owner's grant.
+        holders.renew(self.holder)
+        order = []
+        began = threading.Event()
+        go_on = threading.Event()
+
+        def grant(*_):
+            began.set()
+            go_on.wait(5)
+            order.append("grant")
+
+        def release(*_):
+            order.append("release")
+            return "token"
+
+        self.holder.orders = holders.Orders(grant, release)
+        renewing = threading.Thread(target=holders.renew, args=[self.holder])
+        renewing.start()
+        began.wait(5)
+        self.move_first()
+        moving = threading.Thread(target=holders.hand_over, args=[self.holder])
+        moving.start()
+        moving.join(0.2)
+        self.assertEqual([], order)
+        go_on.set()
+        renewing.join(5)
+        moving.join(5)
+        self.assertEqual(["grant", "release"], order)
+
+    def test_cut_range_is_not_served_where_it_moves(self):
+        holders.renew(self.holder)
+        table = tables.split(self.table(), 1, [1_000])
+        fence = tables.range_of(table, 1_000).fence
+        self.write(tables.replace(table, {fence: {"to_node": "n2"}}))
+        self.confirm_other()
+        holders.hand_over(self.holder)
+        self.assertIsNone(holders.fence_for(self.holder, 1_000))
+        self.assertEqual(1, holders.fence_for(self.holder, 999))
+
+    def test_range_with_an_unanswered_grant_is_not_passed_on(self):
+        holders.renew(self.holder)
+        self.server.silent = True
+        holders.renew(self.holder)
+        self.server.silent = False
+        self.move_first()
+        holders.hand_over(self.holder)
+        self.assertEqual("n1", self.table().ranges[0].node)
