--- a/packages/bench/src/waxwinglever_bench/exploration.py
+++ b/packages/bench/src/waxwinglever_bench/exploration.py
@@ -146,7 +146,8 @@
     Attributes:
       seed: Seed of the run.
       overlap: The first violation of sole ownership, or None.
-      unserved: Slices without a lease after all faults were healed.
+      unserved: Slices that had no lease for the longest time of a planned
+        handover, long after all faults were healed.
       term: Last term; counts the elections.
       epochs: Assignments made.
       dispatched: Requests that passed the check at dispatch.
@@ -697,6 +698,7 @@
             later(world, world.rng.expovariate(fault_rate), "", faults)
 
     later(world, 3.0, "", faults)
+    served: set[int] = set()
     while world.queue and world.overlap is None:
         at, _, name, call = heapq.heappop(world.queue)
         if at > FAULTY_S + HEALED_S:
@@ -710,12 +712,9 @@
             continue
         call()
         world.overlap = find_overlap(world)
-    served = {
-        lease.item.start
-        for node in world.nodes.values()
-        for lease in node.state.held.values()
-        if lease.until > clock_of(world, node)
-    }
+        # A planned handover leaves its slice without a lease for a moment.
+        if at >= FAULTY_S + HEALED_S - limits.HANDOVER_S:
+            served |= leased_starts(world)
     record = world.store.record
     return Result(
         seed,
@@ -727,6 +726,16 @@
     )
 
 
+def leased_starts(world: World) -> set[int]:
+    """Returns the starts of the slices that are leased now."""
+    return {
+        lease.item.start
+        for node in world.nodes.values()
+        for lease in node.state.held.values()
+        if lease.until > clock_of(world, node)
+    }
+
+
 def heal(world: World) -> None:
     """Ends all faults."""
     world.healing = True
--- a/packages/cli/src/waxwinglever_cli/main.py
+++ b/packages/cli/src/waxwinglever_cli/main.py
@@ -3,6 +3,7 @@
 import click
 
 from waxwinglever_cli import exits
+from waxwinglever_cli import explain_command
 from waxwinglever_cli import node_commands
 from waxwinglever_cli import output
 from waxwinglever_cli import records_commands
@@ -79,6 +80,7 @@
     node_commands.retire,
     status_commands.status,
     status_commands.owner,
+    explain_command.explain,
 ):
     main.add_command(command)
 
--- a/packages/daemon/src/waxwinglever_daemon/settings.py
+++ b/packages/daemon/src/waxwinglever_daemon/settings.py
@@ -107,12 +107,12 @@
             )
         )
         raise exceptions.InvalidInput(
-            details, "correct the settings file; see docs/operations.md"
+            details, "correct the settings file; see docs/OPERATIONS.md"
         ) from error
     except (ValueError, RecursionError) as error:
         raise exceptions.InvalidInput(
             f"settings: {error}",
-            "correct the settings file; see docs/operations.md",
+            "correct the settings file; see docs/OPERATIONS.md",
         ) from error
 
 
--- a/packages/front/src/waxwinglever_front/announcements.py
+++ b/packages/front/src/waxwinglever_front/announcements.py
@@ -74,5 +74,5 @@
     except (msgspec.MsgspecError, ValueError) as error:
         raise exceptions.InvalidInput(
             f"the announcement is malformed: {error}",
-            "send the JSON object that docs/operations.md describes",
+            "send the JSON object that docs/OPERATIONS.md describes",
         ) from error
--- a/packages/relay/src/waxwinglever_relay/origin.py
+++ b/packages/relay/src/waxwinglever_relay/origin.py
@@ -204,7 +204,7 @@
     """Returns whether a request that was refused should be sent again."""
     if len(tries.refused) >= MAX_REFUSALS:
         return False
-    if origin.now() >= request.target_s:
+    if not has_time(origin, request):
         return False
     if isinstance(tries.last, messages.Shed):
         return tries.sent < request.max_attempts and budgets.withdraw(
@@ -245,11 +245,17 @@
     return (
         request.repeatable
         and tries.sent < request.max_attempts
-        and origin.now() < request.target_s
+        and has_time(origin, request)
         and budgets.withdraw(budget(origin, request.service))
     )
 
 
+def has_time(origin: Origin, request: messages.Request) -> bool:
+    """Returns whether another send could still be in time."""
+    end_s = min(request.target_s, request.deadline_s)
+    return origin.now() + delivery.LEAST_TIME_S < end_s
+
+
 def budget(origin: Origin, service: str) -> budgets.Budget:
     """Returns the budget of extra sends to a service."""
     found = origin.retries.get(service)
--- a/packages/relay/tests/test_origin.py
+++ b/packages/relay/tests/test_origin.py
@@ -121,3 +121,12 @@
         self.assertEqual(
             ["overloaded", "ran"], [t.split(":")[1] for t in self.tries.path]
         )
+
+    def test_nothing_is_sent_again_without_time(self):
+        self.runner.results = [FULL, self.build.ANSWER]
+        self.assertRaises(
+            exceptions.Overloaded,
+            self.unkeyed,
+            deadline_s=self.clock.now_s + 0.01,
+        )
+        self.assertEqual(1, len(self.sent))
