--- a/packages/assignment/src/waxwinglever_assignment/planning.py
+++ b/packages/assignment/src/waxwinglever_assignment/planning.py
@@ -18,8 +18,9 @@
 BALANCE_GAIN = 0.08
 # Balance moves under way at a time; each one stops its keys for a moment.
 MAX_BALANCE_MOVES = 6
-# A record with this many ranges is not cut further.
-MAX_RANGES = 512
+# A record with this many ranges is not cut further: every change is sent to
+# every node, at about 134 bytes a range.
+MAX_RANGES = 256
 # All shards together count as this many requests a second beside the measured
 # ones, so that idle ranges are spread as well.
 IDLE_RATE = 4.0
@@ -231,6 +232,7 @@
             draft,
             (draft.demand[busiest], capacities[busiest]),
             (draft.demand[calmest], capacities[calmest]),
+            len(table.ranges) < MAX_RANGES,
         )
         if found is None:
             break
@@ -251,6 +253,7 @@
     draft: Draft,
     giver: tuple[float, float],
     taker: tuple[float, float],
+    may_cut: bool,
 ) -> tuple[float, tables.Range, int, int] | None:
     """Returns which shards should move between two members.
 
@@ -259,6 +262,7 @@
       draft: The plan in the making.
       giver: Demand and capacity of the giver.
       taker: Demand and capacity of the taker.
+      may_cut: Whether a part of a range may move.
 
     Returns:
       The higher of the two shares after the move, the range, and its first and
@@ -277,7 +281,8 @@
     wanted = (giver[0] * taker[1] - taker[0] * giver[1]) / (giver[1] + taker[1])
     for item in ranges:
         consider(item, item.first, item.last)
-        if rate_of(draft, item.first, item.last) <= wanted:
+        rate = rate_of(draft, item.first, item.last)
+        if rate <= wanted or not may_cut:
             continue
         for bucket in range(
             loads.bucket_of(item.first) + 1, loads.bucket_of(item.last) + 1
--- a/packages/assignment/tests/test_planning.py
+++ b/packages/assignment/tests/test_planning.py
@@ -1,6 +1,7 @@
 """Tests of waxwinglever_assignment.planning."""
 
 import types
+from unittest import mock
 
 import attrs
 import pytest
@@ -125,6 +126,16 @@
             loads.BUCKET_SHARDS, moving[0].last - moving[0].first + 1
         )
 
+    def test_long_record_is_not_cut_further(self):
+        situation = self.situation()
+        first = tables.owned(situation.table, "n1")[0]
+        bucket = loads.bucket_of(first.first)
+        rates = {bucket: 60.0, bucket + 1: 60.0}
+        count = len(situation.table.ranges)
+        with mock.patch.object(planning, "MAX_RANGES", count):
+            planned = planning.plan(attrs.evolve(situation, rates=rates), True)
+        self.assertEqual(count, len(planned.ranges))
+
     def test_light_load_moves_nothing(self):
         situation = self.situation()
         first = tables.owned(situation.table, "n1")[0]
