--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 MINUTES ?= 3
 PACKAGES = model records telemetry store peers backend placement admission \
-	routing assignment relay ownership front daemon cli standins bench
+	routing assignment relay hops ownership front daemon cli standins bench
 empty :=
 space := $(empty) $(empty)
 SOURCES = $(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src) \
--- /dev/null
+++ b/packages/hops/src/waxwinglever_hops/__init__.py
@@ -0,0 +1,4 @@
+"""HTTP servers that see their callers leave, and calls between daemons.
+
+Public modules: server, peers.
+"""
--- a/platform/src/waxwinglever_platform/peers.py
+++ b/packages/hops/src/waxwinglever_hops/peers.py
@@ -1,7 +1,7 @@
-"""The second hop: requests and store calls between daemons over HTTP."""
+"""The second hop: requests and small calls between daemons over HTTP."""
 
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from concurrent import futures
 
 import attrs
@@ -11,10 +11,9 @@
 from waxwinglever_assignment import fleet as fleets
 from waxwinglever_assignment import loads
 from waxwinglever_assignment import promises
+from waxwinglever_hops import server
 from waxwinglever_model import clock
 from waxwinglever_model import exceptions
-from waxwinglever_platform import http_store
-from waxwinglever_platform import server
 from waxwinglever_relay import delivery
 from waxwinglever_relay import exchanges
 from waxwinglever_relay import messages
@@ -23,7 +22,6 @@
 HOP = "X-Hop"
 OUTCOME = "x-hop-outcome"
 RAN = "ran"
-STORE_PATH = "/_waxwinglever/store"
 # The owner's daemon answers by the deadline; its answer needs time to arrive.
 ARRIVAL_S = 0.05
 LOAD_PATH = "/_waxwinglever/load"
@@ -154,7 +152,7 @@
 
     Attributes:
       desk: Deliveries to the backend server.
-      route: The way to the store, for daemons that are cut off from it.
+      pages: Further calls of other daemons, by path.
       promises: What this node has promised to owners.
       log: Called with an event name and fields.
       closing: Whether the daemon is about to stop.
@@ -163,7 +161,7 @@
     """
 
     desk: delivery.Desk
-    route: http_store.Route
+    pages: Mapping[str, server.Handler]
     promises: promises.Promises
     log: Callable[..., None]
     closing: bool = False
@@ -173,8 +171,8 @@
 
 def handle(back: Back, incoming: server.Incoming) -> server.Outgoing:
     """Answers one request of another daemon."""
-    if incoming.target == STORE_PATH:
-        return pass_store_call(back, incoming)
+    if incoming.target in back.pages:
+        return back.pages[incoming.target](incoming)
     if incoming.target.startswith(PROMISE_PATH):
         owner = incoming.target.removeprefix(PROMISE_PATH)
         promised = promises.promise(back.promises, owner)
@@ -276,56 +274,6 @@
     )
 
 
-def pass_store_call(back: Back, incoming: server.Incoming) -> server.Outgoing:
-    """Sends another daemon's call to the store.
-
-    The call itself travels in the body: method, target and body of it.
-    """
-    found = json.loads(incoming.read_body())
-    call = http_store.Call(
-        found["method"],
-        found["target"],
-        found["body"].encode(),
-        float(found["timeout_s"]),
-    )
-    try:
-        reply = http_store.send_direct(back.route, call)
-    except exceptions.StoreUnavailable as error:
-        return server.Outgoing(503, (), error.message.encode(), back.closing)
-    return server.Outgoing(reply.status, (), reply.body, back.closing)
-
-
-def store_detour(
-    client: exchanges.Client,
-) -> Callable[[str, http_store.Call], exchanges.Reply]:
-    """Returns the function that calls the store by way of a daemon."""
-
-    def send(address: str, call: http_store.Call) -> exchanges.Reply:
-        body = {
-            "method": call.method,
-            "target": call.target,
-            "body": call.body.decode(),
-            "timeout_s": call.timeout_s,
-        }
-        try:
-            reply = exchanges.exchange(
-                client,
-                address,
-                "POST",
-                STORE_PATH,
-                {"Host": address},
-                json.dumps(body).encode(),
-                clock.boottime_s() + call.timeout_s + ARRIVAL_S,
-            )
-        except (exchanges.NotConnected, exchanges.AnswerLost) as error:
-            raise http_store.unavailable(error.message) from error
-        if reply.status in (429, 503):
-            raise http_store.unavailable(f"status {reply.status}")
-        return reply
-
-    return send
-
-
 def small_call(client: exchanges.Client, address: str, path: str) -> bytes:
     """Returns the body of another daemon's answer; raises PeerUnavailable."""
     try:
--- /dev/null
+++ b/packages/hops/tests/test_server.py
@@ -0,0 +1,94 @@
+"""Tests of waxwinglever_hops.server."""
+
+import socket
+import threading
+
+import testtools
+
+from waxwinglever_hops import server
+from waxwinglever_model import clock
+from waxwinglever_relay import exchanges
+
+
+class ServerTest(testtools.TestCase):
+    """Guards against handlers that miss a caller, and half answers."""
+
+    def serve(self, handle) -> str:
+        """Starts a server and returns its address."""
+        with socket.socket() as sock:
+            sock.bind(("127.0.0.1", 0))
+            address = f"127.0.0.1:{sock.getsockname()[1]}"
+        made = server.make_server(address, 2, handle)
+        server.start(made, "test")
+        self.addCleanup(made.stop)
+        return address
+
+    def get(self, client, address, body=b"") -> exchanges.Reply:
+        """Sends a request and returns its reply."""
+        return exchanges.exchange(
+            client,
+            address,
+            "POST",
+            "/a?b=%20",
+            {"Host": "x", "X-One": "1"},
+            body,
+            clock.boottime_s() + 3.0,
+        )
+
+    def test_request_and_answer_are_whole(self):
+        seen = []
+
+        def handle(incoming):
+            seen.append((incoming.target, incoming.read_body()))
+            return server.Outgoing(201, (("X-Two", "2"),), b"y" * 100_000)
+
+        client = exchanges.Client(0.5)
+        address = self.serve(handle)
+        for _ in range(2):
+            reply = self.get(client, address, b"x" * 50_000)
+            self.assertEqual(201, reply.status)
+            self.assertEqual(100_000, len(reply.body))
+            self.assertEqual("2", reply.header("x-two"))
+        self.assertEqual([("/a?b=%20", b"x" * 50_000)] * 2, seen)
+        self.assertEqual(1, client.opened)
+
+    def test_no_answer_closes_the_connection(self):
+        def handle(_):
+            raise server.NoAnswer
+
+        self.assertRaises(
+            exchanges.AnswerLost,
+            self.get,
+            exchanges.Client(0.5),
+            self.serve(handle),
+        )
+
+    def test_close_after_the_answer(self):
+        client = exchanges.Client(0.5)
+        address = self.serve(lambda _: server.Outgoing(200, (), b"", True))
+        for _ in range(2):
+            self.assertEqual(
+                "close", self.get(client, address).header("connection")
+            )
+        self.assertEqual(2, client.opened)
+
+    def test_handler_notices_that_its_caller_has_left(self):
+        left = threading.Event()
+        begun = threading.Event()
+
+        def handle(incoming):
+            begun.set()
+            for _ in range(100):
+                if incoming.caller.has_left():
+                    left.set()
+                    break
+                threading.Event().wait(0.02)
+            return server.Outgoing(200, (), b"")
+
+        address = self.serve(handle)
+        host, _, port = address.rpartition(":")
+        with socket.create_connection((host, int(port))) as sock:
+            sock.sendall(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+            self.assertTrue(begun.wait(2))
+            self.assertFalse(left.is_set())
+        self.assertTrue(left.wait(2))
--- a/tools/check_imports.py
+++ b/tools/check_imports.py
@@ -12,6 +12,7 @@
     ("store", "peers", "backend"),
     ("placement", "admission", "routing", "assignment"),
     ("relay",),
+    ("hops",),
     ("ownership",),
     ("front",),
     ("daemon", "cli", "platform"),
