Remove fields that nothing uses

The urgency of a request, limits of services and the header timeout were decoded or carried and never read; the gate takes urgency from the routes in force. No behaviour changes.

--- a/packages/assignment/src/waxwinglever_assignment/replicas.py
+++ b/packages/assignment/src/waxwinglever_assignment/replicas.py
@@ -5,7 +5,6 @@
 
 import attrs
 
-from waxwinglever_model import clock
 from waxwinglever_model import exceptions
 from waxwinglever_store import leased
 
@@ -28,7 +27,6 @@
       version: Store version up to which the copy is current.
       changed: Rises with each change of `items`.
       synced: Whether the prefix was read at least once.
-      reached_s: When the store last answered a call of the watch.
       lost: Whether the last call failed.
       moved: Notified on each change.
       stopping: Ends the thread.
@@ -37,12 +35,10 @@
     store: leased.LeasedStore
     prefix: str
     log: Callable[..., None]
-    now: Callable[[], float] = clock.boottime_s
     items: dict[str, leased.Item] = attrs.Factory(dict)
     version: int = 0
     changed: int = 0
     synced: bool = False
-    reached_s: float = float("-inf")
     lost: bool = False
     moved: threading.Condition = attrs.Factory(threading.Condition)
     stopping: threading.Event = attrs.Factory(threading.Event)
@@ -117,7 +113,6 @@
 
 def reached(replica: Replica) -> None:
     """Notes that the store answered."""
-    replica.reached_s = replica.now()
     if replica.lost:
         replica.lost = False
         replica.log("store-watch-regained", prefix=replica.prefix)
--- a/packages/assignment/tests/conftest.py
+++ b/packages/assignment/tests/conftest.py
@@ -55,7 +55,7 @@
 def node(memory: leased_memory.Memory, clock: Clock, name: str) -> Node:
     """Returns a node on a store in memory."""
     store = leased_memory.connect(memory)
-    replica = replicas.Replica(store, fleets.PREFIX, ignore, now=clock)
+    replica = replicas.Replica(store, fleets.PREFIX, ignore)
     fleet = fleets.Fleet(replica, ignore)
     session = sessions.Session(
         store,
--- a/packages/hops/src/waxwinglever_hops/peers.py
+++ b/packages/hops/src/waxwinglever_hops/peers.py
@@ -58,7 +58,6 @@
     request_id: str
     service: str
     route: str
-    rank: int
     repeatable: bool
     shard: int | None
     caller: str
@@ -84,7 +83,6 @@
             request.request_id,
             request.service,
             request.route,
-            request.rank,
             request.repeatable,
             request.shard,
             request.caller,
@@ -249,7 +247,6 @@
         body=incoming.read_body(),
         service=hop.service,
         route=hop.route,
-        rank=hop.rank,
         repeatable=hop.repeatable,
         shard=hop.shard,
         caller=hop.caller,
--- a/packages/relay/src/waxwinglever_relay/delivery.py
+++ b/packages/relay/src/waxwinglever_relay/delivery.py
@@ -84,12 +84,10 @@
     work = gates.Work(
         request.route, request.deadline_s, messages.fingerprint(request)
     )
-    with gates.admit(
-        desk.backend.gate, work, lambda: check(desk, request)
-    ) as admission:
+    with gates.admit(desk.backend.gate, work, lambda: check(desk, request)):
         if caller is not None and caller.has_left():
             raise messages.caller_left()
-        return run(desk, request, caller, admission)
+        return run(desk, request, caller)
 
 
 def check(desk: Desk, request: messages.Request) -> None:
@@ -146,10 +144,8 @@
     desk: Desk,
     request: messages.Request,
     caller: messages.Caller | None,
-    admission: gates.Admission,
 ) -> messages.Answer:
     """Runs a request that has a slot."""
-    del admission
     try:
         answer = desk.runner.run(request, desk.backend.instance_id, caller)
     except exchanges.NotConnected as error:
--- a/packages/relay/src/waxwinglever_relay/messages.py
+++ b/packages/relay/src/waxwinglever_relay/messages.py
@@ -22,7 +22,6 @@
       body: The whole body.
       service: Service that should run it.
       route: Name of the route; histograms and shares are kept for it.
-      rank: Urgency of the route; 0 is the most urgent.
       repeatable: Whether it may run more than once.
       shard: Shard of a keyed service, or None.
       caller: Service on whose machine the request began.
@@ -39,7 +38,6 @@
     body: bytes
     service: str
     route: str
-    rank: int
     repeatable: bool
     shard: int | None
     caller: str
--- a/packages/relay/src/waxwinglever_relay/routes.py
+++ b/packages/relay/src/waxwinglever_relay/routes.py
@@ -54,17 +54,11 @@
     Attributes:
       name: Name of the service.
       keyed: Whether its shards are owned by one backend server each.
-      health_path: Path of the health check.
-      max_connections: Connections that a backend server accepts in all.
-      cold_s: Length of a cold start.
       cold_rate: Requests a second that a cold backend server bears.
     """
 
     name: str
     keyed: bool
-    health_path: str
-    max_connections: int
-    cold_s: float
     cold_rate: float
 
 
@@ -75,13 +69,11 @@
     Attributes:
       header_bytes: Largest block of headers.
       body_bytes: Largest body.
-      header_timeout_s: Longest time for the headers to arrive.
       idle_timeout_s: How long an unused connection stays open.
     """
 
     header_bytes: int
     body_bytes: int
-    header_timeout_s: float
     idle_timeout_s: float
 
 
--- a/packages/relay/tests/conftest.py
+++ b/packages/relay/tests/conftest.py
@@ -46,7 +46,6 @@
         "body": b"",
         "service": "dispatch",
         "route": "jobs",
-        "rank": 1,
         "repeatable": True,
         "shard": 7,
         "caller": "workshop",
@@ -101,7 +100,7 @@
     )
     memory = leased_memory.Memory(now=clock)
     store = leased_memory.connect(memory)
-    replica = replicas.Replica(store, fleets.PREFIX, ignore, now=clock)
+    replica = replicas.Replica(store, fleets.PREFIX, ignore)
     session = sessions.Session(
         store,
         fleets.Member("n1", "1", "127.0.0.1:1", "a", service),
--- a/packages/standins/src/waxwinglever_standins/ownership_world.py
+++ b/packages/standins/src/waxwinglever_standins/ownership_world.py
@@ -133,7 +133,7 @@
         return world.now_s
 
     node.up = True
-    node.replica = replicas.Replica(store, fleets.PREFIX, log, now=now)
+    node.replica = replicas.Replica(store, fleets.PREFIX, log)
     node.fleet = fleets.Fleet(node.replica, log, now=now)
     node.voter = promises.Promises(now=now)
     member = fleets.Member(
