--- a/packages/store/tests/test_http.py
+++ b/packages/store/tests/test_http.py
@@ -1,5 +1,6 @@
 """Tests of waxwinglever_store.http: one contract for both implementations."""
 
+import socket
 import threading
 
 import testtools
@@ -12,8 +13,17 @@
 from waxwinglever_standins import store_http
 from waxwinglever_store import http
 
-ADDRESS = "127.0.0.1:17501"
-NOBODY = "127.0.0.1:17502"
+
+def free_address() -> str:
+    """Returns a loopback address whose port nobody listens on."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{sock.getsockname()[1]}"
+
+
+# Fixed ports made two test runs on one machine fail each other.
+ADDRESS = free_address()
+NOBODY = free_address()
 CLIENT = "127.0.0.2"
 TIMEOUT_S = 0.3
 LONG_S = 30.0
