Let a few nodes of each zone watch the store, and the others follow

Cause: every node watched two prefixes of the store, so each change cost one call a node, and while the store was away each of a node's threads repeated its calls on the direct way and on two detours.

Change: `assignment.readers`. The first nodes of each zone, one for twelve, watch the store; the others ask their reader, which answers from its copy's history. A reader answers only while the store itself has confirmed its session within a second; who gets no answer watches the store for 3 s. The planner and each node's own entry are always watched directly, as the planner must not count from an old view and a session must not outlive its entry.

Ruled out: longer watches alone (changes, not idle returns, make most calls).

The explorer now lets nodes fall up to 1.2 s behind.

--- a/packages/assignment/src/waxwinglever_assignment/fleet.py
+++ b/packages/assignment/src/waxwinglever_assignment/fleet.py
@@ -61,6 +61,15 @@
     leaving: bool = False
 
 
+def entry_key(name: str) -> str:
+    """Returns the key of a node's entry.
+
+    It ends with a slash, so that a watch over it sees no node whose name
+    begins with this one's.
+    """
+    return f"{NODES}{name}/"
+
+
 def encode_member(item: Member) -> bytes:
     """Returns the bytes of a member's entry."""
     return msgspec.json.encode(item)
@@ -159,7 +168,7 @@
 
 def member(fleet: Fleet, name: str) -> Member | None:
     """Returns one member, or None when it has no entry."""
-    return read(fleet, NODES + name, decode_member)
+    return read(fleet, entry_key(name), decode_member)
 
 
 def table(fleet: Fleet, service: str) -> tables.Table | None:
--- a/packages/assignment/src/waxwinglever_assignment/planner.py
+++ b/packages/assignment/src/waxwinglever_assignment/planner.py
@@ -50,6 +50,8 @@
       store: The store.
       services: Returns the names of keyed services in force.
       closed_zones: Returns the zones that get no work.
+      may_lead: Returns whether this node may take the planner's seat; it must
+        watch the store itself.
       ask: Returns the load report of a member; raises PeerUnavailable.
       ask_word: Asks a voter for its word about an owner (promises.give_word);
         raises PeerUnavailable.
@@ -70,6 +72,7 @@
     store: leased.LeasedStore
     services: Callable[[], Sequence[str]]
     closed_zones: Callable[[], frozenset[str]]
+    may_lead: Callable[[], bool]
     ask: Callable[[fleets.Member], loads.Report]
     ask_word: Callable[[str, str], float | None]
     log: Callable[..., None]
@@ -129,7 +132,8 @@
     leading = False
     if in_touch(planner) and not me.leaving:
         item = planner.fleet.replica.items.get(fleets.PLANNER)
-        if item is None and planner.fleet.replica.synced:
+        free = item is None and planner.fleet.replica.synced
+        if free and planner.may_lead():
             planner.store.commit(
                 {fleets.PLANNER: leased.ABSENT},
                 [
@@ -295,7 +299,7 @@
     }
     for name in taken & set(situation.gone):
         # An owner that comes back in this moment keeps its ranges.
-        expected[fleets.NODES + name] = leased.ABSENT
+        expected[fleets.entry_key(name)] = leased.ABSENT
     planner.store.commit(
         expected, [leased.Write(key, tables.encode(planned))], []
     )
--- a/packages/assignment/src/waxwinglever_assignment/sessions.py
+++ b/packages/assignment/src/waxwinglever_assignment/sessions.py
@@ -39,7 +39,7 @@
     Attributes:
       store: The store.
       member: What the entry should say.
-      entry: Returns the entry as the watch knows it.
+      entry: Returns the entry as a watch of the store itself knows it.
       log: Called with an event name and fields.
       lease: The lease of the entry, or NO_LEASE.
       published: What the entry says, or None when that is not known.
@@ -49,6 +49,8 @@
       promised_s: When the last round of promises with a majority was begun.
       ask_promises: Asks the voters; returns whether a majority promised.
       doubtful: Whether a call has failed since the entry was last read.
+      direct: Whether the last confirmation came from the store itself and not
+        by way of another daemon.
       lost: Whether the last confirmation failed.
       wake: Set when `member` changed or the thread must end.
       stopping: Ends the thread.
@@ -66,6 +68,7 @@
     floor: int = 0
     confirmed_s: float = float("-inf")
     doubtful: bool = False
+    direct: bool = False
     lost: bool = False
     wake: threading.Event = attrs.Factory(threading.Event)
     stopping: threading.Event = attrs.Factory(threading.Event)
@@ -155,6 +158,7 @@
     else:
         session.store.renew(session.lease)
         check_entry(session)
+    session.direct = session.store.is_direct()
     session.confirmed_s = began_s
 
 
@@ -164,7 +168,7 @@
     The watch shows a removal at once. After a failed call, or when calls take
     a detour, the watch may be behind, and the entry is read from the store.
     """
-    key = fleets.NODES + session.member.name
+    key = fleets.entry_key(session.member.name)
     direct = session.store.is_direct()
     if direct and not session.doubtful:
         item = session.entry()
@@ -181,7 +185,7 @@
 
 def publish(session: Session) -> int:
     """Writes the entry and returns its store version."""
-    key = fleets.NODES + session.member.name
+    key = fleets.entry_key(session.member.name)
     member = session.member
     item = session.store.get(key)
     if session.published is not None and (
--- a/packages/assignment/tests/conftest.py
+++ b/packages/assignment/tests/conftest.py
@@ -60,7 +60,7 @@
     session = sessions.Session(
         store,
         member(name),
-        lambda: replica.items.get(fleets.NODES + name),
+        lambda: replica.items.get(fleets.entry_key(name)),
         ignore,
         now=clock,
     )
--- a/packages/assignment/tests/test_exploration.py
+++ b/packages/assignment/tests/test_exploration.py
@@ -44,7 +44,7 @@
         else:
             worlds.start(world, node)
     elif kind == 5:
-        leased_memory.revoke(world.memory, fleets.NODES + node.name)
+        leased_memory.revoke(world.memory, fleets.entry_key(node.name))
     elif kind == 6:
         world.lose_share = 0.3 - world.lose_share
     elif kind == 7:
--- /dev/null
+++ b/packages/assignment/tests/test_readers.py
@@ -0,0 +1,138 @@
+"""Tests of waxwinglever_assignment.readers."""
+
+import types
+
+import pytest
+import testtools
+
+from waxwinglever_assignment import fleet as fleets
+from waxwinglever_assignment import readers
+from waxwinglever_assignment import replicas
+from waxwinglever_assignment import sessions
+from waxwinglever_model import exceptions
+from waxwinglever_standins import leased_memory
+from waxwinglever_store import leased
+
+NAMES = [f"n{number:02}" for number in range(30)]
+
+
+@pytest.mark.usefixtures("build")
+class ReadersTest(testtools.TestCase):
+    """Guards against nodes that follow a reader which is behind."""
+
+    # Set by the fixture.
+    build: types.SimpleNamespace = types.SimpleNamespace()
+
+    def setUp(self):
+        super().setUp()
+        self.clock = self.build.Clock()
+        self.memory = leased_memory.Memory(now=self.clock)
+        self.store = leased_memory.connect(self.memory)
+        for name in NAMES:
+            member = self.build.member(name)
+            self.write(fleets.entry_key(name), fleets.encode_member(member))
+        self.node = self.build.node(self.memory, self.clock, "n00")
+        replicas.load(self.node.replica)
+        self.asked = []
+        self.answer = lambda: leased.Changes((), 1)
+        self.leading = False
+
+    def write(self, key: str, value: bytes) -> None:
+        """Writes one key into the store."""
+        self.store.commit({}, [leased.Write(key, value)], [])
+
+    def following(self, name: str) -> readers.Following:
+        """Returns the state of a node that may follow."""
+
+        def ask(reader, prefix, version):
+            self.asked.append((reader.name, prefix, version))
+            return self.answer()
+
+        return readers.Following(
+            name,
+            "a",
+            self.node.fleet,
+            self.store,
+            ask,
+            lambda: self.leading,
+            self.build.ignore,
+            now=self.clock,
+        )
+
+    def refuse(self):
+        """Answers as a reader that is not current."""
+        raise exceptions.PeerUnavailable("not current", "none")
+
+    def test_followers_spread_over_the_readers(self):
+        counts = {}
+        for name in NAMES:
+            reader = readers.reader_of(self.following(name))
+            if reader is not None:
+                counts[reader.name] = counts.get(reader.name, 0) + 1
+        self.assertEqual({"n00", "n01", "n02"}, set(counts))
+        self.assertLessEqual(max(counts.values()), readers.NODES_PER_READER)
+
+    def test_leaving_node_is_no_reader(self):
+        member = self.build.member("n00", leaving=True)
+        self.write(fleets.entry_key("n00"), fleets.encode_member(member))
+        replicas.follow(self.node.replica)
+        found = readers.readers_of(fleets.members(self.node.fleet), "a")
+        self.assertEqual(["n01", "n02", "n03"], [m.name for m in found])
+
+    def test_planner_reads_the_store(self):
+        self.leading = True
+        self.assertIsNone(readers.reader_of(self.following("n20")))
+
+    def test_lone_node_of_a_zone_reads_the_store(self):
+        following = self.following("x")
+        following.zone = "b"
+        self.assertIsNone(readers.reader_of(following))
+
+    def test_failed_reader_is_left_for_the_store(self):
+        following = self.following("n20")
+        watch = readers.watch(following)
+        self.answer = self.refuse
+        version = self.memory.version
+        self.write("p/1", b"1")
+        self.assertEqual(1, len(watch("p/", version, 0.0).changes))
+        self.assertEqual(1, len(watch("p/", version, 0.0).changes))
+        self.assertEqual(1, len(self.asked))
+        self.clock.now_s += readers.DIRECT_S
+        watch("p/", version, 0.0)
+        self.assertEqual(2, len(self.asked))
+
+    def test_short_history_of_a_reader_does_not_end_the_following(self):
+        def gone():
+            raise leased.HistoryGone("gone", "none")
+
+        self.answer = gone
+        watch = readers.watch(self.following("n20"))
+        for _ in range(2):
+            watch("p/", self.memory.version, 0.0)
+        self.assertEqual(2, len(self.asked))
+
+    def test_reader_serves_only_while_it_is_current(self):
+        session = self.node.session
+        replica = self.node.replica
+        refused = exceptions.StoreUnavailable
+        version = replica.version
+        self.write("waxwinglever/x", b"1")
+        replicas.follow(replica)
+        self.assertRaises(refused, readers.serve, session, replica, version)
+        sessions.confirm(session)
+        readers.serve(session, replica, version)
+        self.clock.now_s += readers.CURRENT_S
+        self.assertRaises(refused, readers.serve, session, replica, version)
+
+    def test_reader_whose_calls_take_a_detour_refuses(self):
+        # Its own watch may hang on a connection that is cut off.
+        session = self.node.session
+        sessions.confirm(session)
+        session.direct = False
+        self.assertRaises(
+            exceptions.StoreUnavailable,
+            readers.serve,
+            session,
+            self.node.replica,
+            0,
+        )
--- a/packages/assignment/tests/test_sessions.py
+++ b/packages/assignment/tests/test_sessions.py
@@ -44,18 +44,18 @@
 
     def test_revoked_entry_ends_the_session(self):
         # The lease goes on, so only the entry shows it.
-        leased_memory.revoke(self.memory, fleets.NODES + "n1")
+        leased_memory.revoke(self.memory, fleets.entry_key("n1"))
         self.session.doubtful = True
         self.assertRaises(leased.LeaseEnded, sessions.confirm, self.session)
         self.assertEqual(100.0, self.session.confirmed_s)
 
     def test_revoked_entry_is_not_written_again_under_the_old_lease(self):
-        leased_memory.revoke(self.memory, fleets.NODES + "n1")
+        leased_memory.revoke(self.memory, fleets.entry_key("n1"))
         sessions.announce(self.session, state=fleets.DRAINING)
         self.assertRaises(leased.LeaseEnded, sessions.confirm, self.session)
 
     def test_removal_seen_by_the_watch_ends_the_session(self):
-        leased_memory.revoke(self.memory, fleets.NODES + "n1")
+        leased_memory.revoke(self.memory, fleets.entry_key("n1"))
         replicas.follow(self.node.replica)
         self.assertRaises(leased.LeaseEnded, sessions.confirm, self.session)
 
@@ -73,10 +73,10 @@
     def test_change_is_published(self):
         sessions.announce(self.session, state=fleets.DRAINING)
         sessions.confirm(self.session)
-        item = self.memory.items[fleets.NODES + "n1"]
+        item = self.memory.items[fleets.entry_key("n1")]
         member = fleets.decode_member(item.value)
         self.assertEqual(fleets.DRAINING, member.state)
 
     def test_close_removes_the_entry(self):
         sessions.close(self.session)
-        self.assertNotIn(fleets.NODES + "n1", self.memory.items)
+        self.assertNotIn(fleets.entry_key("n1"), self.memory.items)
--- a/packages/relay/tests/conftest.py
+++ b/packages/relay/tests/conftest.py
@@ -140,7 +140,7 @@
             {},
             [
                 leased.Write(
-                    fleets.NODES + item.name, fleets.encode_member(item)
+                    fleets.entry_key(item.name), fleets.encode_member(item)
                 )
             ],
             [],
--- a/packages/standins/src/waxwinglever_standins/ownership_world.py
+++ b/packages/standins/src/waxwinglever_standins/ownership_world.py
@@ -25,6 +25,9 @@
 SERVICE = "dispatch"
 SLOW_CLOCK = 1.02
 STEP_S = (0.02, 0.2)
+# A node that follows a reader can be behind by this much.
+MOST_BEHIND_S = 1.2
+BEHIND_SHARE = 0.1
 # A server announces itself this often.
 ANNOUNCE_S = 1.5
 INLINE = types.SimpleNamespace(map=map)
@@ -60,6 +63,7 @@
       store_cut: Whether it can't reach the store.
       link_cut: Whether it can't reach other daemons.
       heard_s: When the daemon first hears its server.
+      behind_until_s: Until when its reader tells it nothing new.
     """
 
     name: str
@@ -70,8 +74,10 @@
     store_cut: bool = False
     link_cut: bool = False
     heard_s: float = 0.0
+    behind_until_s: float = float("-inf")
     session: sessions.Session | None = None
     replica: replicas.Replica | None = None
+    entry: replicas.Replica | None = None
     fleet: fleets.Fleet | None = None
     holder: holders.Holder | None = None
     planner: planners.Planner | None = None
@@ -134,6 +140,8 @@
 
     node.up = True
     node.replica = replicas.Replica(store, fleets.PREFIX, log)
+    key = fleets.entry_key(node.name)
+    node.entry = replicas.Replica(store, key, log)
     node.fleet = fleets.Fleet(node.replica, log, now=now)
     node.voter = promises.Promises(now=now)
     member = fleets.Member(
@@ -148,7 +156,7 @@
     node.session = sessions.Session(
         store,
         member,
-        lambda: node.replica.items.get(fleets.NODES + node.name),
+        lambda: node.entry.items.get(key),
         log,
         lambda: ask_promises(world, node),
         now=now,
@@ -170,6 +178,7 @@
         store,
         lambda: (SERVICE,),
         frozenset,
+        lambda: True,
         lambda member: loads.Report(
             {b: world.rng.random() * 4 for b in range(0, 40)}, 0.15
         ),
@@ -335,11 +344,12 @@
         except exceptions.WaxwingleverError:
             session.doubtful = True
             sessions.extend(session)
-    attempt(
-        lambda: replicas.follow(replica)
-        if replica.synced
-        else replicas.load(replica)
-    )
+    attempt(lambda: refresh(node.entry))
+    if world.now_s >= node.behind_until_s or node.planner.leading:
+        attempt(lambda: refresh(replica))
+        if world.rng.random() < BEHIND_SHARE:
+            behind_s = world.rng.uniform(0.0, MOST_BEHIND_S)
+            node.behind_until_s = world.now_s + behind_s
     attempt(lambda: holders.renew(node.holder))
     attempt(lambda: holders.hand_over(node.holder))
     if world.rng.random() < 0.5:
@@ -349,6 +359,14 @@
         attempt(lambda: planners.plan_all(node.planner))
 
 
+def refresh(replica: replicas.Replica) -> None:
+    """Brings a copy of the store up to date."""
+    if replica.synced:
+        replicas.follow(replica)
+    else:
+        replicas.load(replica)
+
+
 def attempt(call) -> None:
     """Runs a call that may fail; its thread would try again later."""
     try:
