Keep the ownership record in eight parts; deal finer ranges

The first table gave each node one range, and busy keys lie close together; balancing moved six ranges at a time, and none while any range was under way, which on a large fleet is nearly always. Handing over meant a compare-and-swap of one record of up to 34 KB that every node reads, and owners met on it.

Change: the record is kept in eight parts with fences that never coincide, a table carries the versions that it was read at, and a write changes only the parts that differ (before, the version was read again at the write, so a write could undo a change that came between). Each node gets four ranges at least, and balance may begin a move for every four nodes.

--- a/packages/assignment/src/waxwinglever_assignment/fleet.py
+++ b/packages/assignment/src/waxwinglever_assignment/fleet.py
@@ -96,6 +96,8 @@
       decoded: Decoded values and their versions, by key.
       member_list: Members, and the state of the replica they belong to.
       departed: Members whose entries have gone, and when that was seen.
+      joined: The table of each service, and the state of the replica that it
+        belongs to.
     """
 
     replica: replicas.Replica
@@ -104,6 +106,7 @@
     now: Callable[[], float] = clock.boottime_s
     member_list: tuple[int, tuple[Member, ...]] = (-1, ())
     departed: dict[str, tuple[Member, float]] = attrs.Factory(dict)
+    joined: dict[str, tuple[int, tables.Table | None]] = attrs.Factory(dict)
 
 
 def read(fleet: Fleet, key: str, decode: Callable[[bytes], object]) -> object:
@@ -171,12 +174,38 @@
     return read(fleet, entry_key(name), decode_member)
 
 
-def table(fleet: Fleet, service: str) -> tables.Table | None:
-    """Returns the ownership record of a service, or None."""
-    return read(fleet, TABLES + service, tables.decode)
+def part_key(service: str, part: int) -> str:
+    """Returns the key of one part of a service's ownership record."""
+    return f"{TABLES}{service}/{part}"
 
 
-def table_version(fleet: Fleet, service: str) -> int:
-    """Returns the store version of that record; 0 when there is none."""
-    item = fleet.replica.items.get(TABLES + service)
-    return item.version if item is not None else 0
+def table(fleet: Fleet, service: str) -> tables.Table | None:
+    """Returns the ownership record of a service, or None."""
+    at = fleet.replica.changed
+    known = fleet.joined.get(service)
+    if known is None or known[0] != at:
+        before = known[1] if known is not None else None
+        known = fleet.joined[service] = (at, join(fleet, service, before))
+    return known[1]
+
+
+def join(
+    fleet: Fleet, service: str, before: tables.Table | None
+) -> tables.Table | None:
+    """Returns the record made of its parts; `before` if no part is newer."""
+    items = fleet.replica.items
+    keys = [part_key(service, part) for part in range(tables.PARTS)]
+    found = [items.get(key) for key in keys]
+    if None in found:
+        return None
+    versions = tuple(item.version for item in found)
+    if before is not None and before.versions == versions:
+        return before
+    parts = [read(fleet, key, tables.decode) for key in keys]
+    if None in parts:
+        return None
+    try:
+        return tables.join(service, parts, versions)
+    except exceptions.InvalidInput as error:
+        fleet.log("store-value-unreadable", key=keys[0], error=error.message)
+        return None
--- a/packages/assignment/src/waxwinglever_assignment/holder.py
+++ b/packages/assignment/src/waxwinglever_assignment/holder.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from waxwinglever_assignment import commits
 from waxwinglever_assignment import fleet as fleets
 from waxwinglever_assignment import sessions
 from waxwinglever_assignment import tables
@@ -17,8 +18,12 @@
 from waxwinglever_model import exceptions
 from waxwinglever_store import leased
 
-# Grants are renewed this often; a renewal without an answer is repeated then.
+# Grants are looked at this often; a renewal without an answer is repeated then.
 RENEW_S = 0.5
+# A grant is renewed when less than this is left, so that there is time to
+# repeat the renewal once. Renewing each time took a third of the processor
+# time of an idle daemon.
+RENEW_BELOW_S = 1.25
 # A backend server's clock may run 2% slow.
 CLOCK_FACTOR = 1.02
 # Time that a grant may need to its arrival.
@@ -180,12 +185,18 @@
         with holder.lock:
             # A range that was kept after all is granted again.
             holder.leaving &= {item.fence for item in mine if item.to_node}
-            staying = [
+            due_s = holder.now() + RENEW_BELOW_S
+            due = [
                 item
                 for item in mine
-                if not item.to_node and item.fence not in holder.leaving
+                if not item.to_node
+                and item.fence not in holder.leaving
+                and (
+                    holder.ranges.get(item.fence) != item
+                    or holder.held[item.fence] < due_s
+                )
             ]
-        list(holder.callers.map(lambda item: grant(holder, item), staying))
+        list(holder.callers.map(lambda item: grant(holder, item), due))
 
 
 def notice_life(holder: Holder, instance: str) -> None:
@@ -219,13 +230,17 @@
 
     The earlier life held them under its own fence and has ended.
     """
-    changes = {
-        item.fence: {"instance": instance, "handover": "", "to_node": ""}
-        for item in tables.owned(table, holder.name)
-        if item.instance != instance
-    }
-    commit(holder, tables.replace(table, changes))
-    holder.log("ranges-claimed", instance=instance, ranges=len(changes))
+
+    def taken(current: tables.Table) -> tables.Table:
+        changes = {
+            item.fence: {"instance": instance, "handover": "", "to_node": ""}
+            for item in tables.owned(current, holder.name)
+            if item.instance != instance
+        }
+        return tables.replace(current, changes)
+
+    commits.update(holder.store, table, taken)
+    holder.log("ranges-claimed", instance=instance)
 
 
 def grant(holder: Holder, item: tables.Range) -> None:
@@ -337,6 +352,18 @@
     table = my_table(holder)
     if table is None or not tokens:
         return
+
+    def passed(current: tables.Table) -> tables.Table:
+        return tables.replace(current, new_owners(holder, current, tokens))
+
+    commits.update(holder.store, table, passed)
+    holder.log("ranges-handed-over", fences=sorted(tokens))
+
+
+def new_owners(
+    holder: Holder, table: tables.Table, tokens: Mapping[int, str]
+) -> dict[int, dict[str, object]]:
+    """Returns the changes that give released ranges to their next owners."""
     changes = {}
     for item in tables.owned(table, holder.name):
         if item.fence not in tokens or not item.to_node:
@@ -350,19 +377,4 @@
             "handover": tokens[item.fence],
             "to_node": tables.NOBODY,
         }
-    if not changes:
-        return
-    commit(holder, tables.replace(table, changes))
-    holder.log("ranges-handed-over", fences=sorted(changes))
-
-
-def commit(holder: Holder, table: tables.Table) -> None:
-    """Writes the record if it is still as this node knows it."""
-    key = fleets.TABLES + holder.service
-    holder.store.commit(
-        {
-            key: fleets.table_version(holder.fleet, holder.service),
-        },
-        [leased.Write(key, tables.encode(table))],
-        [],
-    )
+    return changes
--- a/packages/assignment/src/waxwinglever_assignment/planner.py
+++ b/packages/assignment/src/waxwinglever_assignment/planner.py
@@ -5,11 +5,12 @@
 """
 
 import threading
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from concurrent import futures
 
 import attrs
 
+from waxwinglever_assignment import commits
 from waxwinglever_assignment import fleet as fleets
 from waxwinglever_assignment import loads
 from waxwinglever_assignment import planning
@@ -289,25 +290,23 @@
     planned: tables.Table,
 ) -> None:
     """Writes a planned record unless something has changed meanwhile."""
-    key = fleets.TABLES + service
-    expected = {key: fleets.table_version(planner.fleet, service)}
-    kept = {(item.fence, item.node) for item in planned.ranges}
-    taken = {
-        item.node
-        for item in situation.table.ranges
-        if (item.fence, item.node) not in kept
-    }
-    for name in taken & set(situation.gone):
+    before = situation.table
+    everyone_taken = set()
+    for parts in batches(situation, planned):
+        taken = taken_in(situation, planned, parts)
+        everyone_taken |= taken
         # An owner that comes back in this moment keeps its ranges.
-        expected[fleets.entry_key(name)] = leased.ABSENT
-    planner.store.commit(
-        expected, [leased.Write(key, tables.encode(planned))], []
-    )
+        commits.commit(
+            planner.store,
+            before,
+            commits.only_parts(before, planned, parts),
+            [fleets.entry_key(name) for name in taken],
+        )
     planner.log(
         "ranges-planned",
         service=service,
-        record_version=expected[key],
-        gone=sorted(taken & set(situation.gone)),
+        record_versions=before.versions,
+        gone=sorted(everyone_taken),
         moving=[
             [item.first, item.last, item.node, item.to_node]
             for item in planned.ranges
@@ -317,6 +316,37 @@
     )
 
 
+def taken_in(
+    situation: planning.Situation,
+    planned: tables.Table,
+    parts: Collection[int],
+) -> set[str]:
+    """Returns the lost owners that a plan takes ranges of some parts from."""
+    kept = {(item.fence, item.node) for item in planned.ranges}
+    return {
+        item.node
+        for item in situation.table.ranges
+        if (item.fence, item.node) not in kept
+        and item.node in situation.gone
+        and tables.part_of(item.first) in parts
+    }
+
+
+def batches(
+    situation: planning.Situation, planned: tables.Table
+) -> list[list[int]]:
+    """Returns the changed parts, as many together as a transaction takes."""
+    found: list[list[int]] = []
+    for part in tables.changed_parts(situation.table, planned):
+        wider = found[-1] + [part] if found else [part]
+        taken = taken_in(situation, planned, wider)
+        if found and 2 * len(wider) + len(taken) <= commits.MOST_ENTRIES:
+            found[-1] = wider
+        else:
+            found.append([part])
+    return found
+
+
 def run_reports(planner: Planner) -> None:
     """Asks the owners for their load while this node plans; one thread."""
     while not planner.stopping.wait(REPORT_S):
@@ -374,10 +404,7 @@
     table = planning.first_table(
         service, candidates, capacities(candidates, planner.reports)
     )
-    key = fleets.TABLES + service
-    planner.store.commit(
-        {key: leased.ABSENT}, [leased.Write(key, tables.encode(table))], []
-    )
+    commits.create(planner.store, table)
     planner.log(
         "ranges-dealt",
         service=service,
--- a/packages/assignment/src/waxwinglever_assignment/planning.py
+++ b/packages/assignment/src/waxwinglever_assignment/planning.py
@@ -9,18 +9,22 @@
 from waxwinglever_assignment import loads
 from waxwinglever_assignment import tables
 
-# Ranges of a first table. Busy keys lie close together, so each node gets
-# several ranges from all over the shards.
+# Ranges of a first table, and how many of them each node gets at least. Busy
+# keys lie close together, so each node gets ranges from all over the shards;
+# with one range each, the nodes of busy shards are overloaded for many moves.
 FIRST_RANGES = 48
+FIRST_RANGES_EACH = 4
 # Below this share of its capacity a node needs no relief.
 RELIEF_FROM = 0.5
 # A move for balance must lower the share of the busiest node by this much.
 BALANCE_GAIN = 0.08
-# Balance moves under way at a time; each one stops its keys for a moment.
+# Moves under way at a time beside which others may begin; each one stops its
+# keys for a moment. Large fleets take more, one for each MOVES_SHARE nodes.
 MAX_BALANCE_MOVES = 6
-# A record with this many ranges is not cut further: every change is sent to
-# every node, at about 134 bytes a range.
-MAX_RANGES = 256
+MOVES_SHARE = 4
+# A record with this many ranges is not cut further: a change sends its part,
+# an eighth of them, to every node, at about 134 bytes a range.
+MAX_RANGES = 512
 # All shards together count as this many requests a second beside the measured
 # ones, so that idle ranges are spread as well.
 IDLE_RATE = 4.0
@@ -96,7 +100,7 @@
     """Returns a record that deals the buckets out by capacity, interleaved."""
     order = sorted(members, key=lambda member: member.name)
     total = sum(capacities[member.name] for member in order)
-    rounds = max(1, FIRST_RANGES // len(order))
+    rounds = max(FIRST_RANGES_EACH, FIRST_RANGES // len(order))
     shares: list[tuple[str, str, int]] = []
     dealt = 0
     share_sum = 0.0
@@ -134,9 +138,8 @@
     if draft.changes:
         return tables.replace(table, draft.changes)
     moving = sum(1 for item in table.ranges if item.to_node)
-    if balance and moving == 0:
-        return balanced(situation, draft)
-    return table
+    room = max(MAX_BALANCE_MOVES, len(keepers) // MOVES_SHARE) - moving
+    return balanced(situation, draft, room) if balance else table
 
 
 def sums_of(situation: Situation) -> list[float]:
@@ -204,11 +207,11 @@
             }
 
 
-def balanced(situation: Situation, draft: Draft) -> tables.Table:
-    """Returns the record with moves away from the busiest members."""
+def balanced(situation: Situation, draft: Draft, room: int) -> tables.Table:
+    """Returns the record with at most `room` moves off the busiest members."""
     table = situation.table
     capacities = situation.capacities
-    for _ in range(MAX_BALANCE_MOVES):
+    for _ in range(room):
         shares = [
             (draft.demand[name] / capacities[name], name)
             for name in draft.keepers
--- a/packages/assignment/src/waxwinglever_assignment/tables.py
+++ b/packages/assignment/src/waxwinglever_assignment/tables.py
@@ -3,6 +3,10 @@
 The record changes by compare-and-swap only. While the session of an owner
 lives, nobody but that owner gives its ranges away; the planner only names the
 node that they should move to. A fence is used once and always rises.
+
+The store keeps the record in parts of equal width, so that owners which hand
+ranges over at the same time rarely meet, and a change sends one part to every
+node and not the whole record.
 """
 
 import bisect
@@ -16,6 +20,11 @@
 FIRST_SHARD = 0
 LAST_SHARD = 65_535
 NOBODY = ""
+# A transaction of the platform's store takes 32 entries, and the first table
+# needs two for each part.
+PARTS = 8
+PART_SHARDS = (LAST_SHARD + 1) // PARTS
+NO_VERSIONS = (0,) * PARTS
 
 
 @attrs.frozen
@@ -48,13 +57,18 @@
 
     Attributes:
       service: Name of the service.
-      ranges: Ranges in order; together they cover all shards.
-      next_fence: Lowest fence that was never used.
+      ranges: Ranges in order; together they cover all shards, and none lies in
+        two parts.
+      next_fences: Lowest fence that was never used, by part. The fences of
+        part p leave the remainder p when divided by PARTS, so that no two
+        ranges have the same.
+      versions: Store version of each part that the table was read from.
     """
 
     service: str
     ranges: tuple[Range, ...]
-    next_fence: int
+    next_fences: tuple[int, ...]
+    versions: tuple[int, ...] = attrs.field(default=NO_VERSIONS, eq=False)
 
     def __attrs_post_init__(self):
         expected = FIRST_SHARD
@@ -64,27 +78,79 @@
                     f"range {item.first}-{item.last} does not start at"
                     f" {expected}"
                 )
-            if item.fence >= self.next_fence:
-                raise ValueError(f"fence {item.fence} is not below next_fence")
+            part = part_of(item.first)
+            if part_of(item.last) != part:
+                raise ValueError(f"range {item.first} lies in two parts")
+            if item.fence % PARTS != part:
+                raise ValueError(f"fence {item.fence} is not of part {part}")
+            if item.fence >= self.next_fences[part]:
+                raise ValueError(f"fence {item.fence} was never given out")
             expected = item.last + 1
         if expected != LAST_SHARD + 1:
             raise ValueError(f"the ranges end at {expected - 1}")
 
 
-def encode(table: Table) -> bytes:
-    """Returns the bytes of a table for the store."""
-    return msgspec.json.encode(table)
+@attrs.frozen
+class Part:
+    """The ranges of one part, and its lowest unused fence."""
+
+    ranges: tuple[Range, ...]
+    next_fence: int
+
+
+def part_of(shard: int) -> int:
+    """Returns the part that contains a shard."""
+    return shard // PART_SHARDS
+
+
+def ranges_in(table: Table, part: int) -> tuple[Range, ...]:
+    """Returns the ranges of one part."""
+    return tuple(item for item in table.ranges if part_of(item.first) == part)
+
 
+def changed_parts(before: Table, after: Table) -> list[int]:
+    """Returns the parts in which two tables differ."""
+    return [
+        part
+        for part in range(PARTS)
+        if ranges_in(before, part) != ranges_in(after, part)
+    ]
 
-def decode(data: bytes) -> Table:
-    """Returns the table in a value of the store; raises InvalidInput."""
+
+def encode(table: Table, part: int) -> bytes:
+    """Returns the bytes of one part for the store."""
+    return msgspec.json.encode(
+        Part(ranges_in(table, part), table.next_fences[part])
+    )
+
+
+def decode(data: bytes) -> Part:
+    """Returns the part in a value of the store; raises InvalidInput."""
     try:
-        return msgspec.json.decode(data, type=Table)
+        return msgspec.json.decode(data, type=Part)
     except (msgspec.MsgspecError, ValueError) as error:
-        raise exceptions.InvalidInput(
-            f"the ownership record can't be read: {error}",
-            "update the daemons, or remove the record while all are stopped",
-        ) from error
+        raise unreadable(error) from error
+
+
+def join(service: str, parts: Sequence[Part], versions: Sequence[int]) -> Table:
+    """Returns the table made of all parts; raises InvalidInput."""
+    try:
+        return Table(
+            service,
+            tuple(item for part in parts for item in part.ranges),
+            tuple(part.next_fence for part in parts),
+            tuple(versions),
+        )
+    except ValueError as error:
+        raise unreadable(error) from error
+
+
+def unreadable(error: Exception) -> exceptions.InvalidInput:
+    """Returns the error for a record that makes no sense."""
+    return exceptions.InvalidInput(
+        f"the ownership record can't be read: {error}",
+        "update the daemons, or remove the record while all are stopped",
+    )
 
 
 def range_of(table: Table, shard: int) -> Range:
@@ -106,15 +172,24 @@
       changes: New field values by the range's present fence. A range whose
         changes name the owner or its instance gets a new fence.
     """
-    next_fence = table.next_fence
+    next_fences = list(table.next_fences)
     ranges = []
     for item in table.ranges:
         fields = dict(changes.get(item.fence, ()))
         if "node" in fields or "instance" in fields:
-            fields["fence"] = next_fence
-            next_fence += 1
+            fields["fence"] = take_fence(next_fences, item)
         ranges.append(attrs.evolve(item, **fields) if fields else item)
-    return attrs.evolve(table, ranges=tuple(ranges), next_fence=next_fence)
+    return attrs.evolve(
+        table, ranges=tuple(ranges), next_fences=tuple(next_fences)
+    )
+
+
+def take_fence(next_fences: list[int], item: Range) -> int:
+    """Returns an unused fence for a range, and marks it as used."""
+    part = part_of(item.first)
+    fence = next_fences[part]
+    next_fences[part] += PARTS
+    return fence
 
 
 def split(table: Table, fence: int, at: Sequence[int]) -> Table:
@@ -124,7 +199,7 @@
     one range. The owner grants the parts anew under these fences.
     """
     ranges: list[Range] = []
-    next_fence = table.next_fence
+    next_fences = list(table.next_fences)
     for item in table.ranges:
         if item.fence != fence:
             ranges.append(item)
@@ -137,12 +212,13 @@
         for part, (first, last) in enumerate(zip(cuts, ends)):
             kept = item.fence
             if part:
-                kept = next_fence
-                next_fence += 1
+                kept = take_fence(next_fences, item)
             ranges.append(
                 attrs.evolve(item, first=first, last=last, fence=kept)
             )
-    return attrs.evolve(table, ranges=tuple(ranges), next_fence=next_fence)
+    return attrs.evolve(
+        table, ranges=tuple(ranges), next_fences=tuple(next_fences)
+    )
 
 
 def deal(service: str, shares: Sequence[tuple[str, str, int]]) -> Table:
@@ -151,11 +227,18 @@
     Args:
       service: Name of the service.
       shares: Node, instance and number of shards, in the order of the ranges.
+        A share that lies in two parts is cut between them.
     """
+    next_fences = [part + PARTS for part in range(PARTS)]
     ranges = []
     first = FIRST_SHARD
-    for fence, (node, instance, count) in enumerate(shares, start=1):
-        last = first + count - 1
-        ranges.append(Range(first, last, node, instance, fence))
-        first = last + 1
-    return Table(service, tuple(ranges), len(ranges) + 1)
+    for node, instance, count in shares:
+        end = first + count
+        while first < end:
+            border = (part_of(first) + 1) * PART_SHARDS
+            last = min(end, border) - 1
+            item = Range(first, last, node, instance, 0)
+            fence = take_fence(next_fences, item)
+            ranges.append(attrs.evolve(item, fence=fence))
+            first = last + 1
+    return Table(service, tuple(ranges), tuple(next_fences))
--- /dev/null
+++ b/packages/assignment/tests/test_commits.py
@@ -0,0 +1,165 @@
+"""Tests of waxwinglever_assignment.commits."""
+
+import attrs
+import testtools
+
+from waxwinglever_assignment import commits
+from waxwinglever_assignment import fleet as fleets
+from waxwinglever_assignment import replicas
+from waxwinglever_assignment import tables
+from waxwinglever_model import exceptions
+from waxwinglever_standins import leased_memory
+from waxwinglever_store import leased
+
+HALF = (tables.LAST_SHARD + 1) // 2
+
+
+def ignore(event: str, **fields) -> None:
+    """Takes a log line."""
+    del event, fields
+
+
+class CommitsTest(testtools.TestCase):
+    """Guards against a write that undoes another node's."""
+
+    def setUp(self):
+        super().setUp()
+        self.memory = leased_memory.Memory()
+        self.store = leased_memory.connect(self.memory)
+        commits.create(
+            self.store,
+            tables.deal("s", [("a", "a@1", HALF), ("b", "b@1", HALF)]),
+        )
+        self.replica = replicas.Replica(
+            self.store, fleets.PREFIX, ignore, wait_s=0.0
+        )
+        self.fleet = fleets.Fleet(self.replica, ignore)
+        replicas.load(self.replica)
+        self.before = fleets.table(self.fleet, "s")
+
+    def moved(self, *places: int) -> tables.Table:
+        """Returns the table as read, with some ranges given to another."""
+        fences = [self.before.ranges[place].fence for place in places]
+        return tables.replace(
+            self.before, {fence: {"to_node": "c"} for fence in fences}
+        )
+
+    def stored(self) -> list[str]:
+        """Returns the next node of each range in the store."""
+        replicas.follow(self.replica)
+        table = fleets.table(self.fleet, "s")
+        return [item.to_node for item in table.ranges]
+
+    def test_owners_of_different_parts_do_not_meet(self):
+        commits.commit(self.store, self.before, self.moved(0))
+        commits.commit(self.store, self.before, self.moved(7))
+        self.assertEqual(["c"] + [""] * 6 + ["c"], self.stored())
+
+    def test_change_of_the_same_part_is_a_conflict(self):
+        # The version that counts is that of the table which was decided on,
+        # even if a newer one is known by now.
+        commits.commit(self.store, self.before, self.moved(0))
+        replicas.follow(self.replica)
+        changed = tables.split(self.before, self.before.ranges[0].fence, [99])
+        self.assertRaises(
+            exceptions.Conflict,
+            commits.commit,
+            self.store,
+            self.before,
+            changed,
+        )
+
+    def test_owner_that_is_back_keeps_its_ranges(self):
+        key = fleets.entry_key("a")
+        self.store.commit({}, [leased.Write(key, b"{}")], [])
+        self.assertRaises(
+            exceptions.Conflict,
+            commits.commit,
+            self.store,
+            self.before,
+            self.moved(0),
+            [key],
+        )
+
+    def test_change_is_repeated_on_what_others_wrote(self):
+        # Owners of neighbouring ranges hand over at the same time.
+        commits.commit(self.store, self.before, self.moved(0))
+        fence = self.before.ranges[0].fence
+
+        def keep(table):
+            return tables.replace(table, {fence: {"handover": "t"}})
+
+        commits.update(self.store, self.before, keep)
+        replicas.follow(self.replica)
+        found = fleets.table(self.fleet, "s").ranges[0]
+        self.assertEqual(("c", "t"), (found.to_node, found.handover))
+
+    def test_change_that_others_made_needless_is_not_written(self):
+        commits.commit(self.store, self.before, self.moved(0))
+        version = self.memory.version
+        fence = self.before.ranges[0].fence
+
+        def call_off(table):
+            if table.ranges[0].to_node:
+                return table
+            return tables.replace(table, {fence: {"handover": "t"}})
+
+        commits.update(self.store, self.before, call_off)
+        self.assertEqual(version, self.memory.version)
+
+    def test_change_is_given_up_when_others_are_always_first(self):
+        def lose(table):
+            commits.update(
+                self.store,
+                table,
+                lambda t: tables.replace(
+                    t, {t.ranges[0].fence: {"handover": f"{len(calls)}"}}
+                ),
+            )
+            calls.append(1)
+            return tables.replace(
+                table, {table.ranges[0].fence: {"to_node": "c"}}
+            )
+
+        calls = []
+        self.assertRaises(
+            exceptions.Conflict, commits.update, self.store, self.before, lose
+        )
+        self.assertEqual(commits.TRIES, len(calls))
+
+    def test_second_first_table_is_a_conflict(self):
+        table = tables.deal("s", [("c", "c@1", 2 * HALF)])
+        self.assertRaises(
+            exceptions.Conflict, commits.create, self.store, table
+        )
+
+    def test_changes_of_some_parts_only(self):
+        after = self.moved(0, 3, 7)
+        some = commits.only_parts(self.before, after, [0, 3])
+        self.assertEqual([0, 3], tables.changed_parts(self.before, some))
+
+    def test_record_with_a_part_missing_is_none(self):
+        self.store.commit({}, [], [fleets.part_key("s", 3)])
+        replicas.follow(self.replica)
+        self.assertIsNone(fleets.table(self.fleet, "s"))
+
+    def test_unreadable_part_is_logged_and_makes_no_table(self):
+        lines = []
+        self.fleet.log = lambda event, **_: lines.append(event)
+        fence = self.before.ranges[0].fence
+        data = tables.encode(self.before, 0)
+        bad = data.replace(str(fence).encode(), str(fence + 1).encode(), 1)
+        key = fleets.part_key("s", 0)
+        self.store.commit({}, [leased.Write(key, bad)], [])
+        replicas.follow(self.replica)
+        self.assertIsNone(fleets.table(self.fleet, "s"))
+        self.assertEqual(["store-value-unreadable"], lines)
+
+    def test_unchanged_record_is_decoded_once(self):
+        self.store.commit({}, [leased.Write(fleets.PREFIX + "x", b"")], [])
+        replicas.follow(self.replica)
+        self.assertIs(self.before, fleets.table(self.fleet, "s"))
+
+    def test_versions_are_not_part_of_equality(self):
+        other = attrs.evolve(self.before, versions=tables.NO_VERSIONS)
+        self.assertEqual(self.before, other)
--- a/packages/assignment/tests/test_planning.py
+++ b/packages/assignment/tests/test_planning.py
@@ -50,6 +50,37 @@
         owners = self.owners(table)
         self.assertAlmostEqual(0.2, owners["n1"] / 65_536, delta=0.02)
 
+    def test_large_fleet_spreads_neighbouring_shards(self):
+        # With one range a node, few nodes would hold all busy shards.
+        names = [f"n{number}" for number in range(60)]
+        members = [self.build.member(name) for name in names]
+        table = planning.first_table(
+            "dispatch", members, dict.fromkeys(names, 100.0)
+        )
+        tenth = table.ranges[-1].last // 10
+        near = {item.node for item in table.ranges if item.last < tenth}
+        self.assertGreater(len(near), 18)
+
+    def test_moves_under_way_do_not_stop_the_balancing(self):
+        # On a large fleet some range is nearly always under way.
+        situation = self.situation()
+        mine = tables.owned(situation.table, "n1")
+        rates = {loads.bucket_of(item.first): 20.0 for item in mine}
+        moving = {
+            tables.owned(situation.table, "n2")[0].fence: {"to_node": "n3"}
+        }
+        planned = planning.plan(
+            attrs.evolve(
+                situation,
+                table=tables.replace(situation.table, moving),
+                rates=rates,
+            ),
+            True,
+        )
+        found = sum(1 for item in planned.ranges if item.to_node)
+        self.assertGreater(found, 1)
+        self.assertLessEqual(found, planning.MAX_BALANCE_MOVES)
+
     def test_calm_fleet_keeps_its_ranges(self):
         situation = self.situation()
         self.assertEqual(situation.table, planning.plan(situation, True))
--- a/packages/standins/src/waxwinglever_standins/leased_memory.py
+++ b/packages/standins/src/waxwinglever_standins/leased_memory.py
@@ -91,8 +91,14 @@
             for key, version in expected.items():
                 item = memory.items.get(key)
                 if (item.version if item else leased.ABSENT) != version:
-                    raise exceptions.Conflict(
-                        f"{key} has another version", "read it again"
+                    raise leased.Changed(
+                        f"{key} has another version",
+                        "read it again",
+                        tuple(
+                            memory.items[known]
+                            for known in expected
+                            if known in memory.items
+                        ),
                     )
             writes = tuple(writes)
             for write in writes:
--- a/packages/store/src/waxwinglever_store/leased.py
+++ b/packages/store/src/waxwinglever_store/leased.py
@@ -23,6 +23,19 @@
     kind = "history-gone"
 
 
+class Changed(exceptions.Conflict):
+    """A transaction found another version than the expected one.
+
+    Attributes:
+      items: The keys of the condition as they are now, as far as they exist
+        and the store told them.
+    """
+
+    def __init__(self, message: str, remedy: str, items: tuple["Item", ...]):
+        super().__init__(message, remedy)
+        self.items = items
+
+
 @attrs.frozen
 class Item:
     """One key of the store.
@@ -96,7 +109,7 @@
         when the time ends. Raises HistoryGone.
       commit: Takes the expected versions of keys (ABSENT for none), writes and
         keys to remove; all or nothing. Returns the new version. Raises
-        Conflict when a version differs, LeaseEnded when a lease has ended.
+        Changed when a version differs, LeaseEnded when a lease has ended.
       open_lease: Takes seconds and returns the id of a new lease.
       renew: Renews a lease; raises LeaseEnded.
       end_lease: Ends a lease; its keys are removed.
