--- a/packages/assignment/src/waxwinglever_assignment/promises.py
+++ b/packages/assignment/src/waxwinglever_assignment/promises.py
@@ -17,7 +17,8 @@
   as an owner may know either.
 - A voter that has just started has forgotten what it said before. It makes no
   promise before the longest denial has ended, and gives no word before the
-  longest promise has.
+  longest promise has. A voter that finds no list of voters in the store when
+  it starts has said nothing before, as only voters on a list are asked.
 """
 
 import threading
@@ -91,6 +92,13 @@
         ) from error
 
 
+def begin(state: Promises, has_list: bool) -> None:
+    """Takes whether the store held a list of voters as this voter started."""
+    if not has_list:
+        with state.lock:
+            state.started_s = float("-inf")
+
+
 def promise(state: Promises, owner: str) -> bool:
     """Promises for PROMISE_S to help nobody take the owner's ranges away."""
     with state.lock:
--- a/packages/assignment/tests/test_promises.py
+++ b/packages/assignment/tests/test_promises.py
@@ -51,6 +51,14 @@
         self.assertFalse(promises.promise(voter, "n1"))
         self.assertIsNone(promises.give_word(voter, "n1"))
 
+    def test_first_voters_of_a_fleet_promise_at_once(self):
+        # An outage in the first seconds would stop all owners otherwise.
+        voter = promises.Promises(now=self.clock)
+        promises.begin(voter, has_list=True)
+        self.assertFalse(promises.promise(voter, "n1"))
+        promises.begin(voter, has_list=False)
+        self.assertTrue(promises.promise(voter, "n1"))
+
     def test_denial_outlasts_any_extension(self):
         # Otherwise an owner could be denied and promised in one outage.
         self.assertGreater(promises.DENIAL_S, promises.EXTENSION_S)
