Add a fault soak of the daemon on the users' platform

The soak of the product's own interface runs `waxwingleverd`; nothing ran the platform's daemon as separate processes outside the users' bench. This one starts real daemons beside stand-in servers, behind loopback proxies that delay, reset, silence or cut one way, and injects overlapping faults from outside: SIGKILL, SIGTERM, SIGSTOP and SIGHUP, crashed servers, a store that is away, slow, loses answers, entries or its history, configurations in quick succession. Callers keep their connections. While it runs, the servers and callers check that no shard has two holders that begin requests, that fences rise, that a request which may run once does, that a refused one has not run, and that answers and requests arrive unchanged; afterwards every node serves every kind again within 15 s and obeys a new configuration within 2 s.

The stand-in of the store moves here from the tests' conftest; both use it.

--- a/Makefile
+++ b/Makefile
@@ -8,13 +8,13 @@
 empty :=
 space := $(empty) $(empty)
 SOURCES = $(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src) \
-	$(CURDIR)/platform/src
+	$(CURDIR)/platform/src $(CURDIR)/platform/soak/src
 export VENV
 export PYTHONPATH = $(subst $(space),:,$(SOURCES)):$(CURDIR)/tools
 export PYTHONDONTWRITEBYTECODE = 1
 PY = $(VENV)/bin/python
 
-.PHONY: env format check test demo bench soak clean
+.PHONY: env format check test demo bench soak platform-soak clean
 
 env:
 	@tools/env.sh
@@ -26,7 +26,8 @@
 	$(VENV)/bin/pyink -q --check packages platform tools
 	$(PY) tools/check_imports.py
 	$(PY) tools/check_wire_names.py
-	$(PY) -m pylint --score=n packages platform/src platform/tests tools
+	$(PY) -m pylint --score=n packages platform/src platform/soak \
+		platform/tests tools
 
 test: check
 	$(PY) tools/run_tests.py
@@ -40,5 +41,8 @@
 soak: env
 	$(PY) -m waxwinglever_bench.main soak --seed $(SEED) --minutes $(MINUTES)
 
+platform-soak: env
+	$(PY) -m waxwinglever_soak --seed $(SEED)
+
 clean:
 	rm -rf build $(VENV)
--- a/tools/check_imports.py
+++ b/tools/check_imports.py
@@ -16,11 +16,12 @@
     ("ownership",),
     ("front",),
     ("daemon", "cli", "platform"),
-    ("standins", "bench"),
+    ("standins", "bench", "soak"),
 )
 ORDER = tuple(name for layer in LAYERS for name in layer)
 # The last layer is for tests only, so the order keeps products away from it,
 # but contract tests run the real client against a stand-in (see check_source).
+STANDINS = ("standins", "soak")
 PREFIX = "waxwinglever_"
 
 
@@ -68,7 +69,7 @@
     findings = []
     tree = ast.parse(path.read_text(encoding="utf-8"), str(path))
     for line, other in imported_packages(tree):
-        if other == package or (is_test and other == "standins"):
+        if other == package or (is_test and other in STANDINS):
             continue
         if other not in ORDER:
             findings.append(
@@ -85,11 +86,14 @@
 
 def main() -> int:
     top = pathlib.Path(__file__).resolve().parent.parent
-    folders = sorted(top.glob("packages/*")) + [top / "platform"]
+    soak = top / "platform" / "soak"
+    folders = sorted(top.glob("packages/*")) + [top / "platform", soak]
     roots = [folder / "src" for folder in folders]
     findings = []
     for folder in folders:
         for path in sorted(folder.rglob("*.py")):
+            if folder != soak and soak in path.parents:
+                continue
             is_test = "tests" in path.relative_to(folder).parts
             findings += check_source(folder.name, path, roots, is_test)
     print("\n".join(findings) or "imports: in order")
