Refuse bodies that end early; follow strong readers; leave hot buckets

Three findings:

The daemon had the same fault: cheroot returns what it has when a connection ends within a body, and the daemon passed it on as the whole. The test sends three of nine bytes; such a request is now one whose caller has left. Readers are the nodes with most processor time, as followers of a small busy machine waited over 1.2 s. A move must now gain a fifth of the busiest node's share, unless the taker stays below the mean.

--- a/packages/assignment/src/waxwinglever_assignment/fleet.py
+++ b/packages/assignment/src/waxwinglever_assignment/fleet.py
@@ -46,6 +46,7 @@
       state: STARTING, READY, DRAINING or DOWN.
       cold: Whether it is in its cold start.
       leaving: Whether the daemon is about to stop.
+      cores: Processor time that its machine gives it.
     """
 
     name: str
@@ -59,6 +60,7 @@
     state: str = STARTING
     cold: bool = False
     leaving: bool = False
+    cores: float = 1.0
 
 
 def entry_key(name: str) -> str:
--- a/packages/assignment/src/waxwinglever_assignment/planning.py
+++ b/packages/assignment/src/waxwinglever_assignment/planning.py
@@ -16,8 +16,11 @@
 FIRST_RANGES_EACH = 4
 # Below this share of its capacity a node needs no relief.
 RELIEF_FROM = 0.5
-# A move for balance must lower the share of the busiest node by this much.
+# A move for balance must lower the share of the busiest node by this much, and
+# by this part of it. A hot key that is more than any node can take would go
+# round otherwise, and every move stops it for a moment.
 BALANCE_GAIN = 0.08
+BALANCE_GAIN_PART = 0.2
 # Moves under way at a time beside which others may begin; each one stops its
 # keys for a moment. Large fleets take more, one for each MOVES_SHARE nodes.
 MAX_BALANCE_MOVES = 6
@@ -223,8 +226,7 @@
         mean = sum(draft.demand.values()) / sum(
             capacities[name] for name in draft.keepers
         )
-        empty = least < EMPTY_SHARE * mean
-        if most < RELIEF_FROM and not empty:
+        if most < RELIEF_FROM and least >= EMPTY_SHARE * mean:
             break
         found = best_cut(
             [
@@ -240,10 +242,13 @@
         if found is None:
             break
         after, item, first, last = found
-        needed = mean * BALANCE_GAIN if empty else BALANCE_GAIN
+        rate = rate_of(draft, first, last)
+        needed = max(BALANCE_GAIN, most * BALANCE_GAIN_PART)
+        if (draft.demand[calmest] + rate) / capacities[calmest] <= mean:
+            # An idle node gets no more than its share.
+            needed = mean * BALANCE_GAIN
         if most - after < needed:
             break
-        rate = rate_of(draft, first, last)
         draft.demand[busiest] -= rate
         draft.demand[calmest] += rate
         table, fence = cut_out(table, item, first, last)
--- a/packages/assignment/src/waxwinglever_assignment/readers.py
+++ b/packages/assignment/src/waxwinglever_assignment/readers.py
@@ -1,9 +1,9 @@
 """Which nodes watch the store, and how the others follow them.
 
 A change that every node watches for costs one call of the store a node. So a
-few nodes of each zone, its readers, watch the store, and the others ask their
-reader. A reader that isn't sure to be current refuses, and who gets no answer
-watches the store directly for a while.
+few nodes of each zone, its readers, watch the store, and the others ask one of
+them. A reader that isn't sure to be current refuses; who gets no answer
+watches the store once, and then asks another reader.
 """
 
 from collections.abc import Callable, Sequence
@@ -29,8 +29,8 @@
 # A reader is current while the store has confirmed its session within this
 # time. It is confirmed twice a second.
 CURRENT_S = 1.0
-# After a reader has failed, its followers watch the store for this long.
-DIRECT_S = 3.0
+# A reader that has failed is not asked for this long.
+AVOID_S = 3.0
 
 
 @attrs.define(eq=False)
@@ -46,7 +46,7 @@
         PeerUnavailable, or HistoryGone.
       must_read: Returns whether this node has to watch the store itself.
       log: Called with an event name and fields.
-      direct_until_s: No reader is asked before this.
+      avoided: Until when readers that failed are not asked, by name.
       reader: Name of the reader that was asked last; '' for the store.
     """
 
@@ -58,35 +58,40 @@
     must_read: Callable[[], bool]
     log: Callable[..., None]
     now: Callable[[], float] = clock.boottime_s
-    direct_until_s: float = float("-inf")
+    avoided: dict[str, float] = attrs.Factory(dict)
     reader: str = ""
 
 
 def readers_of(
     members: Sequence[fleets.Member], zone: str
 ) -> list[fleets.Member]:
-    """Returns the readers of a zone."""
+    """Returns the readers of a zone: its strongest nodes."""
     present = [m for m in members if m.zone == zone]
     staying = [m for m in present if not m.leaving]
     count = -(-len(present) // NODES_PER_READER)
-    return sorted(staying, key=lambda member: member.name)[:count]
+    staying.sort(key=lambda member: (-member.cores, member.name))
+    return staying[:count]
 
 
 def reader_of(following: Following) -> fleets.Member | None:
     """Returns the reader to ask, or None to watch the store."""
-    if following.now() < following.direct_until_s or following.must_read():
+    if following.must_read():
         return None
     members = fleets.members(following.fleet)
     found = readers_of(members, following.zone)
-    names = [member.name for member in found]
-    if not found or following.name in names:
+    if following.name in [member.name for member in found]:
         return None
     # All nodes agree on the order, so the followers spread evenly.
     place = sum(
         member.zone == following.zone and member.name < following.name
         for member in members
     )
-    return found[place % len(found)]
+    now_s = following.now()
+    for turn in range(len(found)):
+        reader = found[(place + turn) % len(found)]
+        if following.avoided.get(reader.name, now_s) <= now_s:
+            return reader
+    return None
 
 
 def watch(following: Following) -> replicas.Watch:
@@ -102,7 +107,7 @@
                 # The store may still know them.
                 pass
             except exceptions.PeerUnavailable as error:
-                following.direct_until_s = following.now() + DIRECT_S
+                following.avoided[reader.name] = following.now() + AVOID_S
                 following.log(
                     "reader-lost", reader=reader.name, error=error.message
                 )
--- a/packages/assignment/tests/test_planning.py
+++ b/packages/assignment/tests/test_planning.py
@@ -157,6 +157,19 @@
             loads.BUCKET_SHARDS, moving[0].last - moving[0].first + 1
         )
 
+    def test_bucket_that_overloads_any_node_stays(self):
+        # Each move stops its keys for a moment, and none helps them.
+        situation = self.situation()
+        first = tables.owned(situation.table, "n1")[0]
+        rates = {loads.bucket_of(first.first): 150.0}
+        others = tables.owned(situation.table, "n2")
+        rates |= {loads.bucket_of(item.first): 1.0 for item in others[:5]}
+        capacities = CAPACITIES | {"n3": CAPACITIES["n3"] * 1.2}
+        situation = attrs.evolve(situation, rates=rates, capacities=capacities)
+        planned = planning.plan(situation, True)
+        hot = tables.range_of(planned, first.first)
+        self.assertEqual(("n1", ""), (hot.node, hot.to_node))
+
     def test_long_record_is_not_cut_further(self):
         situation = self.situation()
         first = tables.owned(situation.table, "n1")[0]
--- a/packages/hops/src/waxwinglever_hops/server.py
+++ b/packages/hops/src/waxwinglever_hops/server.py
@@ -4,6 +4,7 @@
 hide: a handler that waits must notice that its caller has left.
 """
 
+import functools
 import http
 import select
 import socket
@@ -34,7 +35,7 @@
       method: HTTP method.
       target: Path and query, unchanged.
       headers: Names in title case, and values.
-      read_body: Reads the whole body.
+      read_body: Reads the whole body; raises CallerLeft when it ends early.
       caller: The connection.
     """
 
@@ -64,7 +65,7 @@
     Args:
       address: host:port to listen on.
       threads: Requests that are handled at a time.
-      handle: Returns the answer, or raises NoAnswer.
+      handle: Returns the answer, or raises NoAnswer or CallerLeft.
     """
     host, _, port = address.rpartition(":")
     server = cheroot_server.HTTPServer(
@@ -93,12 +94,12 @@
                     name.decode("latin-1"): value.decode("latin-1")
                     for name, value in request.inheaders.items()
                 },
-                request.rfile.read,
+                functools.partial(read_whole, request),
                 watch(request.conn.socket),
             )
             try:
                 answer = handle(incoming)
-            except NoAnswer:
+            except (NoAnswer, messages.CallerLeft):
                 request.close_connection = True
                 request.ready = False
                 return
@@ -107,6 +108,15 @@
     return Gateway
 
 
+def read_whole(request: cheroot_server.HTTPRequest) -> bytes:
+    """Returns the body; cheroot takes the end of a connection for its end."""
+    body = request.rfile.read()
+    announced = int(request.inheaders.get(b"Content-Length", 0))
+    if len(body) < announced:
+        raise messages.caller_left()
+    return body
+
+
 def write(request: cheroot_server.HTTPRequest, answer: Outgoing) -> None:
     """Writes an answer."""
     try:
--- a/packages/hops/tests/test_server.py
+++ b/packages/hops/tests/test_server.py
@@ -63,6 +63,29 @@
             self.serve(handle),
         )
 
+    def test_body_that_ends_early_is_no_request(self):
+        # The backend server would run it with another body.
+        bodies = []
+        ended = threading.Event()
+
+        def handle(incoming):
+            try:
+                bodies.append(incoming.read_body())
+            finally:
+                ended.set()
+            return server.Outgoing(200, (), b"")
+
+        address = self.serve(handle)
+        host, _, port = address.rpartition(":")
+        with socket.create_connection((host, int(port))) as sock:
+            sock.sendall(
+                b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nabc"
+            )
+            sock.shutdown(socket.SHUT_WR)
+            self.assertTrue(ended.wait(2))
+            self.assertEqual(b"", sock.recv(100))
+        self.assertEqual([], bodies)
+
     def test_close_after_the_answer(self):
         client = exchanges.Client(0.5)
         address = self.serve(lambda _: server.Outgoing(200, (), b"", True))
