--- a/packages/standins/src/waxwinglever_standins/ownership_world.py
+++ b/packages/standins/src/waxwinglever_standins/ownership_world.py
@@ -19,6 +19,7 @@
 from waxwinglever_assignment import sessions
 from waxwinglever_assignment import tables
 from waxwinglever_model import exceptions
+from waxwinglever_standins import holds
 from waxwinglever_standins import leased_memory
 from waxwinglever_store import leased
 
@@ -33,24 +34,14 @@
 INLINE = types.SimpleNamespace(map=map)
 
 
-@attrs.frozen
-class Hold:
-    """Shards that a backend server holds."""
-
-    first: int
-    last: int
-    fence: int
-    end_s: float
-
-
 @attrs.define(eq=False)
 class Server:
     """A backend server."""
 
     name: str
     life: int = 1
-    holds: list[Hold] = attrs.Factory(list)
-    late: list[tuple[float, Hold, int]] = attrs.Factory(list)
+    holds: list[holds.Hold] = attrs.Factory(list)
+    late: list[tuple[float, holds.Hold, int]] = attrs.Factory(list)
 
 
 @attrs.define(eq=False)
@@ -262,7 +253,7 @@
     """Returns the calls to the server beside a node."""
 
     def grant(item: tables.Range, hold_s: float, _: float) -> None:
-        hold = Hold(
+        hold = holds.Hold(
             item.first,
             item.last,
             item.fence,
@@ -278,26 +269,13 @@
 
     def release(item: tables.Range, _: float) -> str:
         server = node.server
-        server.holds = [
-            part for hold in server.holds for part in without(hold, item)
-        ]
+        server.holds = holds.outside(server.holds, item.first, item.last)
         return "token"
 
     return holders.Orders(grant, release)
 
 
-def without(hold: Hold, item: tables.Range) -> list[Hold]:
-    """Returns what is left of a hold when a range is released."""
-    if hold.last < item.first or hold.first > item.last:
-        return [hold]
-    parts = [
-        attrs.evolve(hold, last=item.first - 1),
-        attrs.evolve(hold, first=item.last + 1),
-    ]
-    return [part for part in parts if part.first <= part.last]
-
-
-def take(world: World, server: Server, hold: Hold) -> None:
+def take(world: World, server: Server, hold: holds.Hold) -> None:
     """Lets a server hold shards, and looks for another one that does."""
     for node in world.nodes.values():
         if node.server is server:
