--- a/packages/standins/src/waxwinglever_standins/ownership_world.py
+++ b/packages/standins/src/waxwinglever_standins/ownership_world.py
@@ -19,7 +19,7 @@
 from waxwinglever_assignment import sessions
 from waxwinglever_assignment import tables
 from waxwinglever_model import exceptions
-from waxwinglever_standins import holds
+from waxwinglever_standins import holds as holds_module
 from waxwinglever_standins import leased_memory
 from waxwinglever_store import leased
 
@@ -40,8 +40,8 @@
 
     name: str
     life: int = 1
-    holds: list[holds.Hold] = attrs.Factory(list)
-    late: list[tuple[float, holds.Hold, int]] = attrs.Factory(list)
+    holds: list[holds_module.Hold] = attrs.Factory(list)
+    late: list[tuple[float, holds_module.Hold, int]] = attrs.Factory(list)
 
 
 @attrs.define(eq=False)
@@ -253,7 +253,7 @@
     """Returns the calls to the server beside a node."""
 
     def grant(item: tables.Range, hold_s: float, _: float) -> None:
-        hold = holds.Hold(
+        hold = holds_module.Hold(
             item.first,
             item.last,
             item.fence,
@@ -269,13 +269,13 @@
 
     def release(item: tables.Range, _: float) -> str:
         server = node.server
-        server.holds = holds.outside(server.holds, item.first, item.last)
+        server.holds = holds_module.outside(server.holds, item.first, item.last)
         return "token"
 
     return holders.Orders(grant, release)
 
 
-def take(world: World, server: Server, hold: holds.Hold) -> None:
+def take(world: World, server: Server, hold: holds_module.Hold) -> None:
     """Lets a server hold shards, and looks for another one that does."""
     for node in world.nodes.values():
         if node.server is server:
