Refuse and answer all requests before the daemon exits

Cause: a draining daemon looked at its counters of running requests and then ended its lease in the store, which takes up to seconds while the store does not answer, and exited. In this time it still accepted requests and passed them on, and the exit closed their connections without an answer. The counters also fell before the response was written, so the exit could cut a response.

Change: requests are counted, under a lock, until their response is written.

--- a/packages/hops/src/waxwinglever_hops/forwarding.py
+++ b/packages/hops/src/waxwinglever_hops/forwarding.py
@@ -180,7 +180,7 @@
       closing: Whether connections are closed after each response, as the daemon
         is about to stop.
       refuses_requests: Whether new requests are refused.
-      in_flight: Number of forwarded requests being handled.
+      in_flight: The forwarded requests whose response is not written yet.
     """
 
     local_delivery: delivery.LocalDelivery
@@ -189,7 +189,7 @@
     log: Callable[..., None]
     closing: bool = False
     refuses_requests: bool = False
-    in_flight: int = 0
+    in_flight: server.InFlight = attrs.Factory(server.InFlight)
 
 
 def handle(
@@ -206,30 +206,27 @@
         return endpoint.handlers[incoming.target](incoming)
     if incoming.target.startswith(control.PATH):
         return control.handle(endpoint.control, incoming.target)
-    endpoint.in_flight += 1
+    server.track(endpoint.in_flight, incoming)
+    request = decode_request(incoming)
+    began_s = clock.boottime_s()
     try:
-        request = decode_request(incoming)
-        began_s = clock.boottime_s()
-        try:
-            if endpoint.refuses_requests:
-                raise delivery.draining_error("this daemon is shutting down")
-            response = delivery.deliver(
-                endpoint.local_delivery, request, incoming.caller
-            )
-        except messages.CallerDisconnected:
-            log_delivery(endpoint, request, "caller-left", began_s)
-            raise server.CloseWithoutResponse from None
-        except exceptions.Refusal as error:
-            log_delivery(endpoint, request, error.kind, began_s, error.message)
-            return encode_refusal(error, endpoint.closing)
-        return server.HttpResponse(
-            response.status,
-            response.headers + ((OUTCOME_HEADER, OUTCOME_RAN),),
-            response.body,
-            endpoint.closing,
+        if endpoint.refuses_requests:
+            raise delivery.draining_error("this daemon is shutting down")
+        response = delivery.deliver(
+            endpoint.local_delivery, request, incoming.caller
         )
-    finally:
-        endpoint.in_flight -= 1
+    except messages.CallerDisconnected:
+        log_delivery(endpoint, request, "caller-left", began_s)
+        raise server.CloseWithoutResponse from None
+    except exceptions.Refusal as error:
+        log_delivery(endpoint, request, error.kind, began_s, error.message)
+        return encode_refusal(error, endpoint.closing)
+    return server.HttpResponse(
+        response.status,
+        response.headers + ((OUTCOME_HEADER, OUTCOME_RAN),),
+        response.body,
+        endpoint.closing,
+    )
 
 
 def log_delivery(
--- a/packages/hops/src/waxwinglever_hops/server.py
+++ b/packages/hops/src/waxwinglever_hops/server.py
@@ -38,6 +38,8 @@
       read_body: Reads and returns the whole body; raises CallerDisconnected if
         the connection ends before the body does.
       caller: The connection of the caller.
+      on_finished: Called in turn once the response is written, or when there is
+        none and the connection is about to be closed.
     """
 
     method: str
@@ -45,6 +47,47 @@
     headers: dict[str, str]
     read_body: Callable[[], bytes]
     caller: messages.CallerConnection
+    on_finished: list[Callable[[], None]] = attrs.field(factory=list)
+
+
+@attrs.define(eq=False)
+class InFlight:
+    """The number of requests whose response is not written yet.
+
+    Attributes:
+      count: The number.
+      changed: Notified when it falls to 0; its lock guards `count`.
+    """
+
+    count: int = 0
+    changed: threading.Condition = attrs.Factory(threading.Condition)
+
+
+def track(in_flight: InFlight, incoming: HttpRequest) -> None:
+    """Counts a request until its response is written."""
+
+    def finish() -> None:
+        with in_flight.changed:
+            in_flight.count -= 1
+            if not in_flight.count:
+                in_flight.changed.notify_all()
+
+    with in_flight.changed:
+        in_flight.count += 1
+    incoming.on_finished.append(finish)
+
+
+def is_in_flight(in_flight: InFlight) -> bool:
+    """Returns whether there are requests without a written response."""
+    return in_flight.count > 0
+
+
+def wait_until_idle(in_flight: InFlight, timeout_s: float) -> bool:
+    """Waits until no request is in flight; returns False after the timeout."""
+    with in_flight.changed:
+        return in_flight.changed.wait_for(
+            lambda: not in_flight.count, timeout_s
+        )
 
 
 @attrs.frozen
@@ -109,12 +152,13 @@
                 watch_connection(request.conn.socket),
             )
             try:
-                response = handle(incoming)
+                write_response(request, handle(incoming))
             except (CloseWithoutResponse, messages.CallerDisconnected):
                 request.close_connection = True
                 request.ready = False
-                return
-            write_response(request, response)
+            finally:
+                for callback in incoming.on_finished:
+                    callback()
 
     return Gateway
 
