Give requests after SIGTERM a deadline within the drain

Cause: a request that arrived after SIGTERM kept its deadline, which could lie behind the end of the drain. If it still waited then for a slot, a handover or its instance, the exit closed its connection without an answer; a daemon that had forwarded it saw an unknown outcome.

--- a/packages/hops/src/waxwinglever_hops/forwarding.py
+++ b/packages/hops/src/waxwinglever_hops/forwarding.py
@@ -181,6 +181,7 @@
         is about to stop.
       refuses_requests: Whether new requests are refused.
       in_flight: The forwarded requests whose response is not written yet.
+      latest_deadline_s: Requests get no later deadline than this.
     """
 
     local_delivery: delivery.LocalDelivery
@@ -190,6 +191,7 @@
     closing: bool = False
     refuses_requests: bool = False
     in_flight: server.InFlight = attrs.Factory(server.InFlight)
+    latest_deadline_s: float = float("inf")
 
 
 def handle(
@@ -207,7 +209,7 @@
     if incoming.target.startswith(control.PATH):
         return control.handle(endpoint.control, incoming.target)
     server.track(endpoint.in_flight, incoming)
-    request = decode_request(incoming)
+    request = decode_request(incoming, endpoint.latest_deadline_s)
     began_s = clock.boottime_s()
     try:
         if endpoint.refuses_requests:
@@ -248,9 +250,15 @@
     )
 
 
-def decode_request(incoming: server.HttpRequest) -> messages.Request:
+def decode_request(
+    incoming: server.HttpRequest, latest_deadline_s: float
+) -> messages.Request:
     """Returns the request that another daemon forwarded.
 
+    Args:
+      incoming: The request as received.
+      latest_deadline_s: The request gets no later deadline than this.
+
     Raises:
       CloseWithoutResponse: The hop header is missing or invalid.
       CallerDisconnected: The connection ended before the body did.
@@ -276,7 +284,7 @@
         shard=hop.shard,
         caller=hop.caller,
         latency_target_s=now_s + hop.target_s,
-        deadline_s=now_s + hop.left_s,
+        deadline_s=min(now_s + hop.left_s, latest_deadline_s),
         keyed=hop.keyed,
     )
 
