--- a/packages/hops/src/waxwinglever_hops/server.py
+++ b/packages/hops/src/waxwinglever_hops/server.py
@@ -17,9 +17,9 @@
 from waxwinglever_relay import messages
 
 BACKLOG = 256
-# Maximum size of all headers, until the configuration sets another.
+# Maximum size of all headers, and how long an idle connection stays open. For
+# the server of the callers, the configuration sets others.
 DEFAULT_HEADER_BYTES = 65_536
-# How long an idle connection stays open, until the configuration sets another.
 DEFAULT_IDLE_TIMEOUT_S = 30.0
 
 
