Soak daemons under planned work and look for lost requests

Cause: the soak counted requests without a response as failed and had no finding for them, as its kills and freezes excuse them. So it could not show what the end of a drain loses.

--- a/Makefile
+++ b/Makefile
@@ -42,7 +42,7 @@
 	$(PY) -m waxwinglever_bench.main soak --seed $(SEED) --minutes $(MINUTES)
 
 platform-soak: env
-	$(PY) -m waxwinglever_soak --seed $(SEED)
+	$(PY) -m waxwinglever_soak --seed $(SEED) $(if $(PLANNED),--planned)
 
 clean:
 	rm -rf build $(VENV)
