Close a connection whose response fails its check

Cause: a connection to the backend server went back into the pool before the response on it was checked. When an extra response of an earlier request takes the place of the expected one, the check fails, and the connection carries a response too many from then on. A repeatable request that is sent again on it can get an extra response of its own first attempt, which has its id and a signature, but not the body.

Change: send_request calls the check before the connection is reused, and closes the connection if it fails. A refusal leaves it open.

--- a/packages/relay/src/waxwinglever_relay/http_client.py
+++ b/packages/relay/src/waxwinglever_relay/http_client.py
@@ -9,7 +9,7 @@
 import select
 import socket
 import threading
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 
 import attrs
 import urllib3
@@ -110,6 +110,7 @@
     body: bytes,
     deadline_s: float,
     caller: messages.CallerConnection | None = None,
+    check: Callable[[Response], None] = lambda _: None,
 ) -> Response:
     """Sends a request and returns its complete response.
 
@@ -122,10 +123,13 @@
       body: The whole body.
       deadline_s: When to give up, on the boot clock.
       caller: The connection of the caller that waits for the response, if any.
+      check: Called with the complete response; raises ResponseLost if it can't
+        be the response to this request. The connection is not reused then, as
+        the next response on it may belong to this request.
 
     Raises:
       ConnectFailed: No connection could be opened; nothing was sent.
-      ResponseLost: The response is missing or incomplete.
+      ResponseLost: The response is missing or incomplete, or `check` raised it.
       ResponseTimeout: No complete response arrived by the deadline.
       CallerDisconnected: The caller closed its connection.
     """
@@ -140,13 +144,14 @@
         wait_readable(conn.sock, caller, deadline_s)
         conn.sock.settimeout(remaining_s(deadline_s))
         response = conn.getresponse()
-        content = response.read()
-        reusable = body_sent and can_reuse(response, method)
-        return Response(
+        complete = Response(
             response.status,
             tuple((n.lower(), v) for n, v in response.headers.items()),
-            content,
+            response.read(),
         )
+        check(complete)
+        reusable = body_sent and can_reuse(response, method)
+        return complete
     except TimeoutError as error:
         raise ResponseTimeout(
             f"{address} did not answer in time", "check its load"
