Let the signal handlers of waxwingleverd wait for no lock

Change: waxwingleverd and the stand-ins get the signals from a SimpleQueue.

Result: the new test raises SIGTERM at each of the first 19 lines after the start. The stand-ins have no test of their own for it.

--- a/packages/daemon/src/waxwinglever_daemon/main.py
+++ b/packages/daemon/src/waxwinglever_daemon/main.py
@@ -2,6 +2,7 @@
 
 import logging
 import os
+import queue
 import signal
 import socket
 import sys
@@ -96,20 +97,22 @@
     Returns:
       0 after the drain, or EXIT_FORCED after a second signal.
     """
-    stop_requested = threading.Event()
-    forced = threading.Event()
+    # A handler may interrupt the code that waits for it at any instruction.
+    # SimpleQueue.put is reentrant; threading.Event.set would wait for a lock
+    # that the interrupted code holds.
+    signals = queue.SimpleQueue()
 
-    def on_signal(*_) -> None:
-        (forced if stop_requested.is_set() else stop_requested).set()
+    def on_signal(number: int, _: object) -> None:
+        signals.put(number)
 
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, on_signal)
     start_http(daemon)
     daemon.context.log("daemon-started", zone=daemon.settings.zone)
     # Not engine.block(), which polls.
-    stop_requested.wait()
-    drained = drain_unless_forced(daemon, forced)
-    if not drained and forced.is_set():
+    signals.get()
+    drained = drain_unless_forced(daemon, signals)
+    if not drained and not signals.empty():
         daemon.context.log("daemon-stopped", reason="second signal")
         return EXIT_FORCED
     cherrypy.engine.exit()
@@ -119,9 +122,9 @@
 
 
 def drain_unless_forced(
-    daemon: assembly.Daemon, forced: threading.Event
+    daemon: assembly.Daemon, signals: queue.SimpleQueue
 ) -> bool:
-    """Drains in a separate thread until done or until `forced` is set.
+    """Drains in a separate thread until done or until another signal arrives.
 
     Returns:
       Whether the node left its cell in time; False also if forced.
@@ -136,7 +139,7 @@
     thread = threading.Thread(target=run_drain, name="drain", daemon=True)
     thread.start()
     while not done.wait(0.1):
-        if forced.is_set():
+        if not signals.empty():
             return False
     return result[0]
 
--- a/packages/daemon/tests/test_main.py
+++ b/packages/daemon/tests/test_main.py
@@ -20,6 +20,40 @@
 from waxwinglever_daemon import main
 
 TIMEOUT_S = 30
+# Calls `run` again and again and sends SIGTERM at each of the first lines that
+# it executes, also in the modules that it calls, until it waits for the signal.
+SIGNAL_PROGRAM = """
+import os, signal, sys, threading, types
+from waxwinglever_daemon import assembly, main
+assembly.drain = lambda _: True
+assembly.close = lambda _: None
+main.cherrypy = types.SimpleNamespace(
+    engine=types.SimpleNamespace(exit=lambda: None)
+)
+fake = types.SimpleNamespace(
+    settings=types.SimpleNamespace(zone="a"),
+    context=types.SimpleNamespace(log=lambda *_, **__: None),
+)
+for line_to_interrupt in range(1, 20):
+    count = 0
+    def trace(frame, event, _):
+        global count
+        count += event == "line"
+        if event == "line" and count == line_to_interrupt:
+            signal.raise_signal(signal.SIGTERM)
+        return trace
+    def start_http(_):
+        # For a line that is only reached after the signal.
+        threading.Timer(0.2, os.kill, (os.getpid(), signal.SIGTERM)).start()
+        sys.settrace(trace)
+        sys._getframe(1).f_trace = trace
+    main.start_http = start_http
+    main.run(fake)
+    sys.settrace(None)
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
+print("drained", flush=True)
+os._exit(0)
+"""
 MALFORMED_INPUTS = (
     b"",
     b"\x00" * 8,
@@ -42,6 +76,20 @@
         self.http = urllib3.PoolManager(retries=False, timeout=TIMEOUT_S)
         self.addCleanup(self.http.clear)
 
+    def test_sigterm_at_any_line_drains_the_daemon(self):
+        # A handler that waits for a lock which the interrupted code holds
+        # would stop the main thread for ever.
+        result = subprocess.run(
+            [sys.executable, "-c", SIGNAL_PROGRAM],
+            capture_output=True,
+            check=False,
+            timeout=TIMEOUT_S,
+            env={"PYTHONPATH": ":".join(filter(None, sys.path))},
+        )
+        self.assertEqual(
+            (0, b"drained\n"), (result.returncode, result.stdout), result.stderr
+        )
+
     def start(self, settings, *options):
         """Starts a daemon process with these settings and options."""
         self.path.write_text(json.dumps(settings), encoding="utf-8")
--- a/packages/standins/src/waxwinglever_standins/serving.py
+++ b/packages/standins/src/waxwinglever_standins/serving.py
@@ -3,6 +3,7 @@
 import collections
 import http
 import json
+import queue
 import signal
 import threading
 import typing
@@ -194,7 +195,9 @@
 
 def wait_for_signal() -> None:
     """Blocks the main thread until SIGTERM or SIGINT."""
-    stop_requested = threading.Event()
+    # SimpleQueue.put is reentrant, so a handler can't wait for a lock that the
+    # interrupted code holds.
+    signals = queue.SimpleQueue()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(signal_number, lambda *_: stop_requested.set())
-    stop_requested.wait()
+        signal.signal(signal_number, lambda number, _: signals.put(number))
+    signals.get()
