--- a/packages/hops/src/waxwinglever_hops/forwarding.py
+++ b/packages/hops/src/waxwinglever_hops/forwarding.py
@@ -180,7 +180,8 @@
       closing: Whether connections are closed after each response, as the daemon
         is about to stop.
       refuses_requests: Whether new requests are refused.
-      in_flight: Number of forwarded requests being handled.
+      in_flight: The forwarded requests whose response is not written yet.
+      latest_deadline_s: Requests get no later deadline than this.
     """
 
     local_delivery: delivery.LocalDelivery
@@ -189,7 +190,8 @@
     log: Callable[..., None]
     closing: bool = False
     refuses_requests: bool = False
-    in_flight: int = 0
+    in_flight: server.InFlight = attrs.Factory(server.InFlight)
+    latest_deadline_s: float = float("inf")
 
 
 def handle(
@@ -206,30 +208,27 @@
         return endpoint.handlers[incoming.target](incoming)
     if incoming.target.startswith(control.PATH):
         return control.handle(endpoint.control, incoming.target)
-    endpoint.in_flight += 1
+    server.track(endpoint.in_flight, incoming)
+    request = decode_request(incoming, endpoint.latest_deadline_s)
+    began_s = clock.boottime_s()
     try:
-        request = decode_request(incoming)
-        began_s = clock.boottime_s()
-        try:
-            if endpoint.refuses_requests:
-                raise delivery.draining_error("this daemon is shutting down")
-            response = delivery.deliver(
-                endpoint.local_delivery, request, incoming.caller
-            )
-        except messages.CallerDisconnected:
-            log_delivery(endpoint, request, "caller-left", began_s)
-            raise server.CloseWithoutResponse from None
-        except exceptions.Refusal as error:
-            log_delivery(endpoint, request, error.kind, began_s, error.message)
-            return encode_refusal(error, endpoint.closing)
-        return server.HttpResponse(
-            response.status,
-            response.headers + ((OUTCOME_HEADER, OUTCOME_RAN),),
-            response.body,
-            endpoint.closing,
+        if endpoint.refuses_requests:
+            raise delivery.draining_error("this daemon is shutting down")
+        response = delivery.deliver(
+            endpoint.local_delivery, request, incoming.caller
         )
-    finally:
-        endpoint.in_flight -= 1
+    except messages.CallerDisconnected:
+        log_delivery(endpoint, request, "caller-left", began_s)
+        raise server.CloseWithoutResponse from None
+    except exceptions.Refusal as error:
+        log_delivery(endpoint, request, error.kind, began_s, error.message)
+        return encode_refusal(error, endpoint.closing)
+    return server.HttpResponse(
+        response.status,
+        response.headers + ((OUTCOME_HEADER, OUTCOME_RAN),),
+        response.body,
+        endpoint.closing,
+    )
 
 
 def log_delivery(
@@ -251,9 +250,15 @@
     )
 
 
-def decode_request(incoming: server.HttpRequest) -> messages.Request:
+def decode_request(
+    incoming: server.HttpRequest, latest_deadline_s: float
+) -> messages.Request:
     """Returns the request that another daemon forwarded.
 
+    Args:
+      incoming: The request as received.
+      latest_deadline_s: The request gets no later deadline than this.
+
     Raises:
       CloseWithoutResponse: The hop header is missing or invalid.
       CallerDisconnected: The connection ended before the body did.
@@ -279,7 +284,7 @@
         shard=hop.shard,
         caller=hop.caller,
         latency_target_s=now_s + hop.target_s,
-        deadline_s=now_s + hop.left_s,
+        deadline_s=min(now_s + hop.left_s, latest_deadline_s),
         keyed=hop.keyed,
     )
 
