Bound the bytes and the time of a response from a server

Cause: the client set one time-out for each read, so a response whose bytes trickled in outlasted the deadline and held its thread, and nothing bounded its length, so a fast one filled the daemon's memory. Interim responses (100) were skipped without end as well.

Change: the connection's socket knows the deadline of the request and the bytes that its response may still have (8 MiB, head included). Both hold for every read of the head, of interim responses and of the body, whatever the framing.

Evidence: before the change, test_response_that_trickles_in_ends_at_the_deadline did not end within 20 s (deadline 0.4 s); with it, the three tests of the file pass, as do the tests of relay, hops, the adapter's backend server and store.

--- a/packages/relay/src/waxwinglever_relay/http_client.py
+++ b/packages/relay/src/waxwinglever_relay/http_client.py
@@ -32,6 +32,9 @@
 KEEPALIVE_PROBES = 2
 # A body is sent in chunks, as the server may answer before it is complete.
 CHUNK_BYTES = 16_384
+# A response with more bytes, head included, is given up: a faulty server may
+# send bytes without end. Each request in flight may need this much memory.
+MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 
 SOCKET_OPTIONS = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
@@ -55,6 +58,10 @@
     kind = "answer-lost"
 
 
+class ResponseTooLong(OSError):
+    """The response has more than MAX_RESPONSE_BYTES."""
+
+
 class ResponseTimeout(ResponseLost):
     """The request was sent, but the response did not arrive by the deadline."""
 
@@ -74,6 +81,35 @@
         return next((v for n, v in self.headers if n == name), None)
 
 
+class BoundedSocket(socket.socket):
+    """A socket whose reads for one response are bounded in time and bytes.
+
+    A time-out for each read alone never ends a response whose bytes trickle in.
+
+    Attributes:
+      deadline_s: When reads fail with TimeoutError, on the boot clock.
+      bytes_left: Bytes that may still be read before reads fail with
+        ResponseTooLong.
+    """
+
+    deadline_s: float = float("inf")
+    bytes_left: int = 0
+
+    def recv_into(self, *args) -> int:
+        """Reads some bytes; see socket.socket.recv_into."""
+        left_s = self.deadline_s - clock.boottime_s()
+        if left_s <= 0:
+            raise TimeoutError("the deadline of the response has passed")
+        self.settimeout(left_s)
+        count = super().recv_into(*args)
+        self.bytes_left -= count
+        if self.bytes_left < 0:
+            raise ResponseTooLong(
+                f"the response exceeds {MAX_RESPONSE_BYTES} bytes"
+            )
+        return count
+
+
 @attrs.define(eq=False)
 class IdleConnection:
     """An idle connection, and the time at which it became idle."""
@@ -138,7 +174,8 @@
             conn, method, target, headers, body, deadline_s
         )
         wait_readable(conn.sock, caller, deadline_s)
-        conn.sock.settimeout(remaining_s(deadline_s))
+        conn.sock.deadline_s = deadline_s
+        conn.sock.bytes_left = MAX_RESPONSE_BYTES
         response = conn.getresponse()
         content = response.read()
         reusable = body_sent and can_reuse(response, method)
@@ -182,6 +219,7 @@
     )
     try:
         conn.connect()
+        conn.sock = BoundedSocket(fileno=conn.sock.detach())
     except (OSError, urllib3.exceptions.HTTPError) as error:
         conn.close()
         raise ConnectFailed(
--- /dev/null
+++ b/packages/relay/tests/test_http_client.py
@@ -0,0 +1,123 @@
+"""Tests of waxwinglever_relay.http_client."""
+
+import socket
+import threading
+import time
+
+import testtools
+
+from waxwinglever_model import clock
+from waxwinglever_relay import http_client
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+# What a faulty server sends before, and then without end.
+ENDLESS_RESPONSES = {
+    "status line": (b"", b"x"),
+    "head": (HEAD, b"X-Filler: 0123456789\r\n"),
+    "interim responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "body without length": (HEAD + b"\r\n", b"x" * 65_536),
+    "chunked body": (
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
+        b"10000\r\n" + b"x" * 65_536 + b"\r\n",
+    ),
+    "body longer than the bound": (
+        HEAD + b"Content-Length: 1000000000\r\n\r\n",
+        b"x" * 65_536,
+    ),
+}
+# Pause between two pieces of a response that trickles in.
+TRICKLE_S = 0.02
+# A request may outlast its deadline by scheduling delays only.
+MARGIN_S = 1.0
+
+
+class Server:
+    """Sends one response without end to each connection until it is closed."""
+
+    def __init__(self, begin: bytes, piece: bytes, pause_s: float):
+        self.begin = begin
+        self.piece = piece
+        self.pause_s = pause_s
+        self.sent = 0
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
+        self.closed_by_caller = threading.Event()
+        threading.Thread(target=self.run, daemon=True).start()
+
+    def run(self) -> None:
+        try:
+            connection, _ = self.listener.accept()
+        except OSError:
+            return
+        with connection:
+            connection.recv(65_536)
+            try:
+                connection.sendall(self.begin)
+                while True:
+                    connection.sendall(self.piece)
+                    self.sent += len(self.piece)
+                    time.sleep(self.pause_s)
+            except OSError:
+                self.closed_by_caller.set()
+
+    def close(self) -> None:
+        self.listener.close()
+
+
+class HttpClientTest(testtools.TestCase):
+    """Guards against a server whose response never ends.
+
+    Its bytes would hold a thread past the deadline and fill the memory of the
+    daemon.
+    """
+
+    def request(self, server: Server, timeout_s: float) -> float:
+        """Sends a request that must fail; returns how long it took."""
+        started_s = clock.boottime_s()
+        self.assertRaises(
+            http_client.ResponseLost,
+            http_client.send_request,
+            http_client.Client(1.0),
+            server.address,
+            "GET",
+            "/",
+            {"Host": server.address},
+            b"",
+            started_s + timeout_s,
+        )
+        return clock.boottime_s() - started_s
+
+    def test_response_that_trickles_in_ends_at_the_deadline(self):
+        for name, (begin, piece) in ENDLESS_RESPONSES.items():
+            server = Server(begin, piece[:32], TRICKLE_S)
+            self.addCleanup(server.close)
+            self.assertLess(self.request(server, 0.4), 0.4 + MARGIN_S, name)
+            self.assertTrue(server.closed_by_caller.wait(5.0), name)
+
+    def test_endless_response_is_closed_at_the_byte_limit(self):
+        for name, (begin, piece) in ENDLESS_RESPONSES.items():
+            server = Server(begin, piece * max(1, 65_536 // len(piece)), 0.0)
+            self.addCleanup(server.close)
+            # The limit ends the request long before its deadline.
+            self.assertLess(self.request(server, 60.0), 30.0, name)
+            self.assertTrue(server.closed_by_caller.wait(5.0), name)
+            # The rest of what was sent lies in the socket buffers.
+            self.assertLess(
+                server.sent, 4 * http_client.MAX_RESPONSE_BYTES, name
+            )
+
+    def test_long_response_within_the_limit_is_whole(self):
+        body = b"x" * (http_client.MAX_RESPONSE_BYTES // 2)
+        head = HEAD + b"Content-Length: %d\r\n\r\n" % len(body)
+        server = Server(head + body, b"", 0.5)
+        self.addCleanup(server.close)
+        response = http_client.send_request(
+            http_client.Client(1.0),
+            server.address,
+            "GET",
+            "/",
+            {"Host": server.address},
+            b"",
+            clock.boottime_s() + 10.0,
+        )
+        self.assertEqual(body, response.body)
