Send a follower only the last change of each key

Cause: a follower that missed several configurations got the full value of each one, though it applies all changes at once.

Change: a reader leaves out changes that a later change of the same key in the same response replaces. The follower's copy and its history after the response give the same state to whoever asks.

--- a/packages/hops/src/waxwinglever_hops/control.py
+++ b/packages/hops/src/waxwinglever_hops/control.py
@@ -111,7 +111,20 @@
         return server.HttpResponse(
             NOT_CURRENT_STATUS, (), error.message.encode()
         )
-    return encode_changes(changes)
+    return encode_changes(latest_changes(changes))
+
+
+def latest_changes(changes: leased.Changes) -> leased.Changes:
+    """Returns the last change of each key, in order.
+
+    A follower applies all changes at once, so earlier values of a key would
+    only take up its link.
+    """
+    latest = {change.key: change for change in changes.changes}
+    return leased.Changes(
+        tuple(sorted(latest.values(), key=lambda change: change.version)),
+        changes.version,
+    )
 
 
 def encode_changes(changes: leased.Changes) -> server.HttpResponse:
--- a/packages/hops/tests/test_control.py
+++ b/packages/hops/tests/test_control.py
@@ -51,3 +51,26 @@
 
     def test_small_change_is_not_compressed(self):
         self.assertEqual((), self.send(make_changes(b"x" * 1_000)).headers)
+
+    def test_only_the_last_value_of_a_key_is_sent(self):
+        # After a series of configurations, a follower got all of them.
+        values = [leased.Item("routing", b"x", n, 0) for n in (3, 5, 6)]
+        changes = leased.Changes(
+            (
+                leased.Change("routing", 3, values[0]),
+                leased.Change("other", 4, None),
+                leased.Change("routing", 5, values[1]),
+                leased.Change("routing", 6, values[2]),
+            ),
+            9,
+        )
+        self.assertEqual(
+            leased.Changes(
+                (
+                    leased.Change("other", 4, None),
+                    leased.Change("routing", 6, values[2]),
+                ),
+                9,
+            ),
+            control.latest_changes(changes),
+        )
