Don't wait in the watch that follows a lost reader

Cause: when its reader does not answer within 1.2 s, a follower watches the store with a wait of 2 s. On a full link that watch is lost too, after 2.6 s, and repeated through two other daemons, 2.6 s each. sidecar-piassa-16 got no configuration from 20.5 s to 31.7 s.

Change: the watch after a lost reader returns at once.

Evidence: test_watch_after_a_lost_reader_does_not_wait fails before the change.

--- a/packages/assignment/src/waxwinglever_assignment/readers.py
+++ b/packages/assignment/src/waxwinglever_assignment/readers.py
@@ -120,6 +120,9 @@
                 follower.log(
                     "reader-lost", reader=reader.name, error=error.message
                 )
+                # A watch that waits and is lost takes as long again at each
+                # daemon that repeats it; a full link lost it and the reader.
+                return follower.store.watch(prefix, version, 0.0)
         return follower.store.watch(prefix, version, wait_s)
 
     return watch_once
--- a/packages/assignment/tests/test_readers.py
+++ b/packages/assignment/tests/test_readers.py
@@ -2,6 +2,7 @@
 
 import types
 
+import attrs
 import pytest
 import testtools
 
@@ -111,6 +112,26 @@
         watch("p/", version, 0.0)
         self.assertEqual(4, len(self.requests))
 
+    def test_watch_after_a_lost_reader_does_not_wait(self):
+        # A lost watch of the store takes its wait and a margin, at this node
+        # and at each daemon that repeats it; a follower whose reader failed was
+        # without changes for 8.7 s.
+        waits = []
+
+        def watch_store(prefix, version, wait_s):
+            del prefix
+            waits.append(wait_s)
+            return leased.Changes((), version)
+
+        follower = self.follower("n20")
+        follower.store = attrs.evolve(self.store, watch=watch_store)
+        watch = readers.watch(follower)
+        self.respond = self.refuse
+        watch("p/", 1, 2.0)
+        self.is_planner = True
+        watch("p/", 1, 2.0)
+        self.assertEqual([0.0, 2.0], waits)
+
     def test_nodes_with_most_cores_are_readers(self):
         # On a small VM the followers would wait for processor time.
         member = self.build.member("n17", cores=2.0)
