Read a restored store anew instead of waiting for its old versions

Cause: every reader of versions took for granted that they never go back. A replica kept each item and each version that was higher than the listed one, so it stayed at the state from before the restore. Its next watch asked for a version that did not exist yet, got 410, and the prefix was listed again at once. A reader likewise had "no change" for followers of a higher version, and a session could renew a lease id that the store had given to another node.

Change: the store's interface names an era, which a restore increases. Replicas, followers, sessions and transactions name the era of their versions and leases. Those of an earlier era raise StoreRestored and are not sent once the restore is known; a replica then replaces its content by a listing, and a session opens a new lease. Log lines name the era.

--- a/packages/assignment/src/waxwinglever_assignment/commits.py
+++ b/packages/assignment/src/waxwinglever_assignment/commits.py
@@ -32,6 +32,7 @@
     Raises:
       Conflict: The store has a newer version of a part, or one of the `absent`
         keys exists.
+      StoreRestored: The store was restored since the table was read.
       StoreUnavailable: The store did not answer.
     """
     parts = tables.changed_parts(before, after)
@@ -45,6 +46,7 @@
             for part in parts
         ],
         [],
+        before.era,
     )
 
 
@@ -63,6 +65,7 @@
 
     Raises:
       Conflict: Other nodes changed the table at each attempt.
+      StoreRestored: The store was restored since the table was read.
       StoreUnavailable: The store did not answer.
     """
     for attempts_left in reversed(range(MAX_ATTEMPTS)):
@@ -101,7 +104,7 @@
             part = part_numbers[item.key]
             parts[part] = tables.decode(item.value)
             versions[part] = item.version
-    return tables.assemble_table(table.service, parts, versions)
+    return tables.assemble_table(table.service, parts, versions, table.era)
 
 
 def create(
@@ -111,6 +114,7 @@
 
     Raises:
       Conflict: The service already has a table.
+      StoreRestored: The store was restored since the table was missed.
       StoreUnavailable: The store did not answer.
     """
     keys = [fleet_view.part_key(table.service, p) for p in range(tables.PARTS)]
@@ -121,6 +125,7 @@
             for part, key in enumerate(keys)
         ],
         [],
+        table.era,
     )
 
 
@@ -137,5 +142,9 @@
         ranges += tables.ranges_in(source, part)
         fences.append(source.next_fences[part])
     return tables.OwnershipTable(
-        before.service, tuple(ranges), tuple(fences), before.versions
+        before.service,
+        tuple(ranges),
+        tuple(fences),
+        before.versions,
+        before.era,
     )
--- a/packages/assignment/src/waxwinglever_assignment/fleet_view.py
+++ b/packages/assignment/src/waxwinglever_assignment/fleet_view.py
@@ -1,6 +1,6 @@
 """A daemon's view of all members and ownership tables in the store."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import attrs
 import msgspec
@@ -10,6 +10,7 @@
 from waxwinglever_assignment import tables
 from waxwinglever_model import clock
 from waxwinglever_model import exceptions
+from waxwinglever_store import leased
 
 PREFIX = "waxwinglever/"
 NODES = PREFIX + "nodes/"
@@ -96,7 +97,7 @@
     Attributes:
       replica: Copy of the store below PREFIX.
       log: Called with an event name and fields.
-      decoded: Version and decoded value of each key.
+      decoded: Item and decoded value of each key.
       now: Returns the time in seconds.
       member_cache: All members, and the revision of the replica for which
         the list was made.
@@ -107,7 +108,7 @@
 
     replica: replicas.Replica
     log: Callable[..., None]
-    decoded: dict[str, tuple[int, object]] = attrs.Factory(dict)
+    decoded: dict[str, tuple[leased.Item, object]] = attrs.Factory(dict)
     now: Callable[[], float] = clock.boottime_s
     member_cache: tuple[int, tuple[Member, ...]] = (-1, ())
     departed: dict[str, tuple[Member, float]] = attrs.Factory(dict)
@@ -125,17 +126,23 @@
     is logged.
     """
     item = fleet.replica.items.get(key)
-    if item is None:
-        return None
+    return None if item is None else decode_item(fleet, item, decode)
+
+
+def decode_item(
+    fleet: FleetView, item: leased.Item, decode: Callable[[bytes], object]
+) -> object:
+    """Returns the decoded value of an item, or None as read_decoded does."""
+    key = item.key
     known = fleet.decoded.get(key)
-    if known is not None and known[0] == item.version:
+    if known is not None and known[0] is item:
         return known[1]
     try:
         value = decode(item.value)
     except exceptions.InvalidInput as error:
         fleet.log("store-value-unreadable", key=key, error=error.message)
         value = None
-    fleet.decoded[key] = (item.version, value)
+    fleet.decoded[key] = (item, value)
     return value
 
 
@@ -210,40 +217,45 @@
 
     Returns None if a part is missing or invalid; the latter is logged.
     """
-    revision = fleet.replica.revision
     known = fleet.table_cache.get(service)
-    if known is None or known[0] != revision:
+    if known is None or known[0] != fleet.replica.revision:
+        items, era, revision = replicas.snapshot(fleet.replica)
         before = known[1] if known is not None else None
         known = fleet.table_cache[service] = (
             revision,
-            read_table(fleet, service, before),
+            read_table(fleet, service, items, era, before),
         )
     return known[1]
 
 
 def read_table(
-    fleet: FleetView, service: str, before: tables.OwnershipTable | None
+    fleet: FleetView,
+    service: str,
+    items: Mapping[str, leased.Item],
+    era: int,
+    before: tables.OwnershipTable | None,
 ) -> tables.OwnershipTable | None:
-    """Returns the table that consists of the parts in the replica.
+    """Returns the table that consists of the parts among some items.
 
     Args:
       fleet: The view.
       service: Name of the service.
+      items: Items of the store by key.
+      era: Era of the store that the items belong to.
       before: The previous table, returned if no part has another version.
     """
-    items = fleet.replica.items
     keys = [part_key(service, part) for part in range(tables.PARTS)]
     found = [items.get(key) for key in keys]
     if None in found:
         return None
     versions = tuple(item.version for item in found)
-    if before is not None and before.versions == versions:
+    if before is not None and before.era == era and before.versions == versions:
         return before
-    parts = [read_decoded(fleet, key, tables.decode) for key in keys]
+    parts = [decode_item(fleet, item, tables.decode) for item in found]
     if None in parts:
         return None
     try:
-        return tables.assemble_table(service, parts, versions)
+        return tables.assemble_table(service, parts, versions, era)
     except exceptions.InvalidInput as error:
         fleet.log("store-value-unreadable", key=keys[0], error=error.message)
         return None
--- a/packages/assignment/src/waxwinglever_assignment/grants.py
+++ b/packages/assignment/src/waxwinglever_assignment/grants.py
@@ -181,8 +181,9 @@
 def usable_table(grant_manager: GrantManager) -> tables.OwnershipTable | None:
     """Returns the ownership table, or None when it must not be used.
 
-    It must not be used while the session is invalid, or when the replica is
-    older than the session's entry.
+    It must not be used while the session is invalid, when the replica is older
+    than the session's entry, or when the two belong to different eras of the
+    store.
     """
     if (
         grant_manager.fleet.replica.version
@@ -191,9 +192,12 @@
         return None
     if sessions.valid_until_s(grant_manager.session) <= grant_manager.now():
         return None
-    return fleet_view.ownership_table(
+    table = fleet_view.ownership_table(
         grant_manager.fleet, grant_manager.service
     )
+    if table is not None and table.era != grant_manager.session.lease.era:
+        return None
+    return table
 
 
 def renew_grants(grant_manager: GrantManager) -> None:
--- a/packages/assignment/src/waxwinglever_assignment/planner.py
+++ b/packages/assignment/src/waxwinglever_assignment/planner.py
@@ -69,7 +69,9 @@
       balanced_s: When balance was last planned for each service.
       reports: Latest load report of each member.
       cleared: Owners that a majority of the voters cleared for takeover.
-      voters_seen: Version of the list of voters, and when it was first seen.
+      voters_seen: Era and version of the list of voters, and when it was first
+        seen.
+      era: Era of the store that the fields above belong to.
       voter_executor: Threads that ask voters.
       is_planner: Whether this node is the planner.
       stopping: Set when the threads must end.
@@ -90,7 +92,8 @@
     balanced_s: dict[str, float] = attrs.Factory(dict)
     reports: dict[str, loads.LoadReport] = attrs.Factory(dict)
     cleared: set[str] = attrs.Factory(set)
-    voters_seen: tuple[int, float] = (-1, 0.0)
+    voters_seen: tuple[int, int, float] = (0, -1, 0.0)
+    era: int = 0
     voter_executor: futures.ThreadPoolExecutor = attrs.Factory(
         lambda: futures.ThreadPoolExecutor(promises.MAX_VOTERS, "voters")
     )
@@ -126,8 +129,10 @@
 
     Raises:
       Conflict: Another node changed one of the keys first.
+      StoreRestored: The store was restored since the replica was read.
       StoreUnavailable: The store did not answer.
     """
+    forget_earlier_era(planner)
     update_role(planner)
     if not planner.is_planner:
         return
@@ -137,9 +142,26 @@
         plan_service(planner, service)
 
 
+def forget_earlier_era(planner: Planner) -> None:
+    """Discards what was learnt before a restore of the store."""
+    era = planner.fleet.replica.era
+    if planner.era != era:
+        planner.era = era
+        planner.missing.clear()
+        planner.cleared.clear()
+        planner.reports.clear()
+
+
 def confirmed_recently(planner: Planner) -> bool:
-    """Returns whether the store confirmed the session recently."""
-    return planner.now() - planner.session.confirmed_s < MAX_CONFIRMATION_AGE_S
+    """Returns whether the store confirmed the session recently.
+
+    The session must belong to the era of the replica.
+    """
+    session = planner.session
+    return (
+        session.lease.era == planner.era
+        and planner.now() - session.confirmed_s < MAX_CONFIRMATION_AGE_S
+    )
 
 
 def update_role(planner: Planner) -> None:
@@ -155,16 +177,18 @@
         item = planner.fleet.replica.items.get(fleet_view.PLANNER)
         free = item is None and planner.fleet.replica.synced
         if free and planner.can_be_planner():
+            lease = planner.session.lease
             planner.store.commit(
                 {fleet_view.PLANNER: leased.ABSENT},
                 [
                     leased.Write(
                         fleet_view.PLANNER,
                         member.incarnation.encode(),
-                        planner.session.lease,
+                        lease.id,
                     )
                 ],
                 [],
+                lease.era,
             )
             is_planner = True
         elif item is not None:
@@ -268,14 +292,14 @@
     item = planner.fleet.replica.items.get(fleet_view.VOTERS)
     version = item.version if item is not None else leased.ABSENT
     now_s = planner.now()
-    if planner.voters_seen[0] != version:
-        planner.voters_seen = (version, now_s)
+    if planner.voters_seen[:2] != (planner.era, version):
+        planner.voters_seen = (planner.era, version, now_s)
     present = [
         (member.name, member.zone)
         for member in fleet_view.list_members(planner.fleet)
     ]
     record = fleet_view.voter_list(planner.fleet)
-    waited_s = now_s - planner.voters_seen[1]
+    waited_s = now_s - planner.voters_seen[2]
     if waited_s < (
         promises.VOTERS_CHANGE_S if record is not None else SETTLE_S
     ):
@@ -287,6 +311,7 @@
         {fleet_view.VOTERS: version},
         [leased.Write(fleet_view.VOTERS, promises.encode(next_list))],
         [],
+        planner.era,
     )
     planner.log(
         "voters-changed", names=next_list.names, before=next_list.before
@@ -464,7 +489,10 @@
     if not candidates or now_s - since_s < SETTLE_S:
         return
     table = planning.plan_initial_table(
-        service, candidates, capacities(candidates, planner.reports)
+        service,
+        candidates,
+        capacities(candidates, planner.reports),
+        planner.era,
     )
     commits.create(planner.store, table)
     planner.log(
--- a/packages/assignment/src/waxwinglever_assignment/planning.py
+++ b/packages/assignment/src/waxwinglever_assignment/planning.py
@@ -102,10 +102,12 @@
     service: str,
     members: Sequence[fleet_view.Member],
     capacities: Mapping[str, float],
+    era: int = tables.UNKNOWN_ERA,
 ) -> tables.OwnershipTable:
     """Returns an initial table with ranges in proportion to capacity.
 
-    The ranges of the members alternate over all shards.
+    The ranges of the members alternate over all shards. The era is that of the
+    store.
     """
     order = sorted(members, key=lambda member: member.name)
     total = sum(capacities[member.name] for member in order)
@@ -124,7 +126,7 @@
                 count = (end - assigned) * loads.BUCKET_SHARDS
                 shares.append((member.name, member.instance, count))
                 assigned = end
-    return tables.initial_table(service, shares)
+    return tables.initial_table(service, shares, era)
 
 
 def plan(plan_input: PlanInput, balance: bool) -> tables.OwnershipTable:
--- a/packages/assignment/src/waxwinglever_assignment/readers.py
+++ b/packages/assignment/src/waxwinglever_assignment/readers.py
@@ -43,8 +43,8 @@
       zone: Availability zone of this node.
       fleet: View of all members.
       store: The store, watched when there is no reader to ask.
-      fetch_changes: Asks a reader for the changes of a prefix after a version;
-        raises PeerUnavailable or HistoryCompacted.
+      fetch_changes: Asks a reader for the changes of a prefix after a version
+        of an era; raises PeerUnavailable or HistoryCompacted.
       must_watch_store: Returns whether this node must watch the store itself.
       log: Called with an event name and fields.
       now: Returns the time in seconds.
@@ -56,7 +56,7 @@
     zone: str
     fleet: fleet_view.FleetView
     store: leased.LeasedStoreClient
-    fetch_changes: Callable[[fleet_view.Member, str, int], leased.Changes]
+    fetch_changes: Callable[[fleet_view.Member, str, int, int], leased.Changes]
     must_watch_store: Callable[[], bool]
     log: Callable[..., None]
     now: Callable[[], float] = clock.boottime_s
@@ -102,16 +102,26 @@
 def watch(follower: FollowerState) -> replicas.Watch:
     """Returns a watch that asks a reader, or else watches the store.
 
-    The watch raises StoreUnavailable and HistoryCompacted as
+    The watch raises StoreUnavailable, StoreRestored and HistoryCompacted as
     LeasedStoreClient.watch does.
     """
 
-    def watch_once(prefix: str, version: int, wait_s: float) -> leased.Changes:
+    def watch_once(
+        prefix: str, version: int, wait_s: float, era: int
+    ) -> leased.Changes:
+        if follower.store.era() != era:
+            # The session's calls have shown a restore of the store. The reader
+            # may not know of it yet.
+            raise leased.StoreRestored(
+                f"the store is in era {follower.store.era()}, the copy in"
+                f" era {era}",
+                "list again",
+            )
         reader = choose_reader(follower)
         log_reader_change(follower, reader.name if reader else "")
         if reader is not None:
             try:
-                return follower.fetch_changes(reader, prefix, version)
+                return follower.fetch_changes(reader, prefix, version, era)
             except leased.HistoryCompacted:
                 # The store may have a longer history than the reader.
                 pass
@@ -122,8 +132,8 @@
                 )
                 # A watch that waits and is lost takes as long again at each
                 # daemon that repeats it; a full link lost it and the reader.
-                return follower.store.watch(prefix, version, 0.0)
-        return follower.store.watch(prefix, version, wait_s)
+                return follower.store.watch(prefix, version, 0.0, era)
+        return follower.store.watch(prefix, version, wait_s, era)
 
     return watch_once
 
@@ -136,7 +146,10 @@
 
 
 def wait_for_changes(
-    session: sessions.Session, replica: replicas.Replica, version: int
+    session: sessions.Session,
+    replica: replicas.Replica,
+    version: int,
+    era: int,
 ) -> leased.Changes:
     """Waits for changes after a version, on behalf of a follower.
 
@@ -144,13 +157,15 @@
       session: The session of this node.
       replica: The copy whose changes the follower gets.
       version: Store version that the follower has.
+      era: Era of the store that this version belongs to.
 
     Returns:
       The changes, none if there were none within FOLLOWER_WAIT_S.
 
     Raises:
       StoreUnavailable: This node may be out of date.
-      HistoryCompacted: Some of these changes are no longer in the history.
+      HistoryCompacted: Some of these changes are no longer in the history, or
+        this node is in another era.
     """
     end_s = session.now() + FOLLOWER_WAIT_S
     while True:
@@ -159,7 +174,12 @@
                 f"node {session.member.name} may be out of date",
                 "watch the store",
             )
-        found = replicas.changes_after(replica, version, CHECK_S)
+        if replica.era != era or session.lease.era != replica.era:
+            raise leased.HistoryCompacted(
+                f"node {session.member.name} has no changes of era {era}",
+                "watch the store",
+            )
+        found = replicas.changes_after(replica, version, era, CHECK_S)
         if found.changes or session.now() >= end_s:
             return found
 
--- a/packages/assignment/src/waxwinglever_assignment/replicas.py
+++ b/packages/assignment/src/waxwinglever_assignment/replicas.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from waxwinglever_model import clock
 from waxwinglever_model import exceptions
 from waxwinglever_store import leased
 
@@ -25,7 +26,7 @@
 # the store.
 MAX_HISTORY = 512
 
-Watch = Callable[[str, int, float], leased.Changes]
+Watch = Callable[[str, int, float, int], leased.Changes]
 
 
 @attrs.define(eq=False)
@@ -42,8 +43,12 @@
       watch: Returns the changes after a version, as LeasedStoreClient.watch
         does.
       wait_s: How long one watch waits for a change.
+      now: Returns the time in seconds.
       items: Items by key.
       version: Store version up to which the copy is current.
+      era: Era of the store that `version` and the items belong to.
+      era_seen_s: When the copy was first read in this era.
+      restored: Whether the store was restored since this copy was first read.
       revision: Incremented with each change of `items`.
       synced: Whether the prefix was read at least once.
       disconnected: Whether the last call failed.
@@ -58,8 +63,12 @@
     log: Callable[..., None]
     watch: Watch = attrs.Factory(lambda self: self.store.watch, takes_self=True)
     wait_s: float = WATCH_S
+    now: Callable[[], float] = clock.boottime_s
     items: dict[str, leased.Item] = attrs.Factory(dict)
     version: int = 0
+    era: int = 0
+    era_seen_s: float = float("-inf")
+    restored: bool = False
     revision: int = 0
     synced: bool = False
     disconnected: bool = False
@@ -72,17 +81,40 @@
 def run(replica: Replica) -> None:
     """Keeps the copy current until `stopping` is set; runs in a thread."""
     listed = False
+    # Whether a watch succeeded since the prefix was read. If not, the next read
+    # waits, as calls to the store are charged for.
+    watched = True
     retry_s = RETRY_S
     while not replica.stopping.is_set():
         try:
             if not listed:
+                if not watched:
+                    replica.stopping.wait(RETRY_S)
                 read_prefix(replica)
                 listed = True
-            elif apply_next_changes(replica):
-                replica.stopping.wait(PAUSE_S)
+                watched = False
+            else:
+                changed = apply_next_changes(replica)
+                watched = True
+                if changed:
+                    replica.stopping.wait(PAUSE_S)
             retry_s = RETRY_S
         except leased.HistoryCompacted:
-            replica.log("store-history-gone", prefix=replica.prefix)
+            replica.log(
+                "store-history-gone",
+                prefix=replica.prefix,
+                version=replica.version,
+                era=replica.era,
+            )
+            listed = False
+        except leased.StoreRestored as error:
+            replica.log(
+                "store-restored",
+                prefix=replica.prefix,
+                version=replica.version,
+                era=replica.era,
+                error=error.message,
+            )
             listed = False
         except exceptions.StoreUnavailable as error:
             if not replica.disconnected:
@@ -101,6 +133,9 @@
     """Reads the whole prefix; raises StoreUnavailable."""
     listing = replica.store.list_prefix(replica.prefix)
     mark_connected(replica)
+    if replica.synced and listing.era != replica.era:
+        replace_items(replica, listing)
+        return
     items = {}
     for item in listing.items:
         known = replica.items.get(item.key)
@@ -113,10 +148,32 @@
         changes = differences(replica.items, items, version)
     else:
         changes = []
+        replica.era = listing.era
+        replica.era_seen_s = replica.now()
         replica.history_start = version
     set_items(replica, items, changes, version)
 
 
+def replace_items(replica: Replica, listing: leased.Listing) -> None:
+    """Replaces the copy by the content of a restored store.
+
+    Nothing of the earlier era can be compared with the listing, so followers
+    get no history across the restore.
+    """
+    with replica.condition:
+        replica.era = listing.era
+        replica.era_seen_s = replica.now()
+        replica.restored = True
+        replica.history.clear()
+        replica.history_start = listing.version
+        set_items(
+            replica,
+            {item.key: item for item in listing.items},
+            (),
+            listing.version,
+        )
+
+
 def differences(
     before: dict[str, leased.Item],
     after: dict[str, leased.Item],
@@ -145,9 +202,12 @@
 
     Raises:
       HistoryCompacted: The store no longer has all changes since `version`.
+      StoreRestored: The store is in a later era than the copy.
       StoreUnavailable: The store did not answer.
     """
-    changes = replica.watch(replica.prefix, replica.version, replica.wait_s)
+    changes = replica.watch(
+        replica.prefix, replica.version, replica.wait_s, replica.era
+    )
     mark_connected(replica)
     version = max(replica.version, changes.version)
     if not changes.changes:
@@ -182,27 +242,34 @@
 
 
 def changes_after(
-    replica: Replica, version: int, wait_s: float
+    replica: Replica, version: int, era: int, wait_s: float
 ) -> leased.Changes:
     """Waits for changes after a version, for a node that follows this one.
 
     Args:
       replica: The copy.
       version: Store version that the follower has.
+      era: Era of the store that this version belongs to.
       wait_s: How long to wait for a change.
 
     Returns:
       The changes, none if there were none in time.
 
     Raises:
-      HistoryCompacted: Some of these changes are no longer in the history.
+      HistoryCompacted: Some of these changes are no longer in the history, or
+        this copy is in another era.
     """
     with replica.condition:
         replica.condition.wait_for(
-            lambda: replica.history and replica.history[-1].version > version,
+            lambda: replica.era != era
+            or (replica.history and replica.history[-1].version > version),
             wait_s,
         )
-        if not replica.synced or version < replica.history_start:
+        if (
+            not replica.synced
+            or replica.era != era
+            or version < replica.history_start
+        ):
             raise leased.HistoryCompacted(
                 f"changes after version {version} are not all kept",
                 "ask the store",
@@ -211,6 +278,20 @@
         return leased.Changes(found, max(version, replica.version))
 
 
+def snapshot(
+    replica: Replica,
+) -> tuple[dict[str, leased.Item], int, int]:
+    """Returns the items, their era and the revision of the copy."""
+    with replica.condition:
+        return replica.items, replica.era, replica.revision
+
+
+def current_item(replica: Replica, key: str) -> leased.Item | None:
+    """Returns an item, or None if it was read before a restore of the store."""
+    items, era, _ = snapshot(replica)
+    return items.get(key) if era == replica.store.era() else None
+
+
 def mark_connected(replica: Replica) -> None:
     """Clears `disconnected` after a successful call and logs the change."""
     if replica.disconnected:
--- a/packages/assignment/src/waxwinglever_assignment/sessions.py
+++ b/packages/assignment/src/waxwinglever_assignment/sessions.py
@@ -43,12 +43,13 @@
     Attributes:
       store: Client of the platform's store.
       member: Content that the entry should have.
-      entry: Returns the entry as last seen by a direct watch of the store.
+      entry: Returns the entry as last seen by a direct watch of the store, or
+        None if that was before a restore of the store.
       log: Called with an event name and fields.
       request_promises: Asks the voters; returns whether a majority promised.
       now: Returns the time in seconds.
       promised_s: When the last request that a majority promised was started.
-      lease: The lease of the entry, or NO_LEASE.
+      lease: The lease of the entry; its id is NO_LEASE if there is none.
       published: Content of the entry that this session wrote last, if any.
       min_record_version: Store version of the first entry of this session.
         Older ownership records are ignored.
@@ -69,7 +70,7 @@
     request_promises: Callable[[], bool] = lambda: False
     now: Callable[[], float] = clock.boottime_s
     promised_s: float = float("-inf")
-    lease: int = leased.NO_LEASE
+    lease: leased.Lease = leased.Lease(leased.NO_LEASE)
     published: fleet_view.Member | None = None
     min_record_version: int = 0
     confirmed_s: float = float("-inf")
@@ -121,11 +122,26 @@
             confirm(session)
             if session.confirmation_failed:
                 session.confirmation_failed = False
-                session.log("session-regained", lease=session.lease)
+                session.log(
+                    "session-regained",
+                    lease=session.lease.id,
+                    era=session.lease.era,
+                )
+        except leased.StoreRestored as error:
+            session.log(
+                "session-restored",
+                lease=session.lease.id,
+                era=session.lease.era,
+                age_s=round(session.now() - session.confirmed_s, 3),
+                error=error.message,
+            )
+            forget_lease(session)
+            continue
         except leased.LeaseExpired as error:
             session.log(
                 "session-ended",
-                lease=session.lease,
+                lease=session.lease.id,
+                era=session.lease.era,
                 age_s=round(session.now() - session.confirmed_s, 3),
                 error=error.message,
             )
@@ -138,7 +154,7 @@
                 session.confirmation_failed = True
                 session.log(
                     "session-unconfirmed",
-                    lease=session.lease,
+                    lease=session.lease.id,
                     valid_s=round(valid_until_s(session) - session.now(), 3),
                     error=error.message,
                 )
@@ -154,10 +170,11 @@
 
     Raises:
       LeaseExpired: The entry or the lease no longer exists.
+      StoreRestored: The lease was opened before the store was restored.
       StoreUnavailable: The store did not answer.
     """
     began_s = session.now()
-    if session.lease == leased.NO_LEASE:
+    if session.lease.id == leased.NO_LEASE:
         session.lease = session.store.open_lease(LEASE_S)
         session.published = None
         session.min_record_version = publish(session)
@@ -180,6 +197,7 @@
 
     Raises:
       LeaseExpired: The entry no longer exists, or belongs to another lease.
+      StoreRestored: The lease was opened before the store was restored.
       StoreUnavailable: The store did not answer.
     """
     key = fleet_view.entry_key(session.member.name)
@@ -191,7 +209,8 @@
     else:
         item = session.store.get(key)
         session.must_read_entry = not direct
-    if item is None or item.lease != session.lease:
+    check_era(session)
+    if item is None or item.lease != session.lease.id:
         raise leased.LeaseExpired(
             "the entry of this node no longer exists", "a new session is opened"
         )
@@ -204,21 +223,24 @@
       LeaseExpired: The published entry no longer exists, or belongs to another
         lease.
       Conflict: The entry changed between reading and writing.
+      StoreRestored: The lease was opened before the store was restored.
       StoreUnavailable: The store did not answer.
     """
     key = fleet_view.entry_key(session.member.name)
     member = session.member
     item = session.store.get(key)
+    check_era(session)
     if session.published is not None and (
-        item is None or item.lease != session.lease
+        item is None or item.lease != session.lease.id
     ):
         raise leased.LeaseExpired(
             "the entry of this node no longer exists", "a new session is opened"
         )
     version = session.store.commit(
         {key: item.version if item is not None else leased.ABSENT},
-        [leased.Write(key, fleet_view.encode_member(member), session.lease)],
+        [leased.Write(key, fleet_view.encode_member(member), session.lease.id)],
         [],
+        session.lease.era,
     )
     session.published = member
     return version
@@ -226,12 +248,31 @@
 
 def reset_lease(session: Session) -> None:
     """Resets the session, so that the next confirmation opens a new lease."""
-    session.lease = leased.NO_LEASE
-    session.published = None
+    forget_lease(session)
     session.confirmed_s = float("-inf")
     session.promised_s = float("-inf")
 
 
+def forget_lease(session: Session) -> None:
+    """Makes the next confirmation open a new lease.
+
+    Earlier confirmations stay valid, as they do in an outage of the store.
+    """
+    session.lease = leased.Lease(leased.NO_LEASE)
+    session.published = None
+
+
+def check_era(session: Session) -> None:
+    """Raises StoreRestored if the lease belongs to an earlier era."""
+    era = session.store.era()
+    if era != session.lease.era:
+        raise leased.StoreRestored(
+            f"the store is in era {era}, the lease belongs to era"
+            f" {session.lease.era}",
+            "a new session is opened",
+        )
+
+
 def close(session: Session) -> None:
     """Stops the thread and ends the lease.
 
@@ -240,7 +281,7 @@
     """
     session.stopping.set()
     session.wake.set()
-    if session.lease != leased.NO_LEASE:
+    if session.lease.id != leased.NO_LEASE:
         try:
             session.store.end_lease(session.lease)
         except exceptions.WaxwingleverError as error:
--- a/packages/assignment/src/waxwinglever_assignment/tables.py
+++ b/packages/assignment/src/waxwinglever_assignment/tables.py
@@ -25,6 +25,8 @@
 PARTS = 8
 PART_SHARDS = (LAST_SHARD + 1) // PARTS
 NO_VERSIONS = (0,) * PARTS
+# The era of a table that was not read from a store.
+UNKNOWN_ERA = 0
 
 
 @attrs.frozen
@@ -64,12 +66,14 @@
         the remainder p when divided by PARTS, so that fences are unique in the
         table.
       versions: Store version of each part that the table was read from.
+      era: Era of the store that the versions belong to.
     """
 
     service: str
     ranges: tuple[Range, ...]
     next_fences: tuple[int, ...]
     versions: tuple[int, ...] = attrs.field(default=NO_VERSIONS, eq=False)
+    era: int = attrs.field(default=UNKNOWN_ERA, eq=False)
 
     def __attrs_post_init__(self):
         expected = FIRST_SHARD
@@ -140,10 +144,19 @@
 
 
 def assemble_table(
-    service: str, parts: Sequence[Part], versions: Sequence[int]
+    service: str,
+    parts: Sequence[Part],
+    versions: Sequence[int],
+    era: int = UNKNOWN_ERA,
 ) -> OwnershipTable:
     """Returns the table that consists of all parts.
 
+    Args:
+      service: Name of the service.
+      parts: All parts in order.
+      versions: Store version of each part.
+      era: Era of the store that the versions belong to.
+
     Raises:
       InvalidInput: The parts don't make up a valid table.
     """
@@ -153,6 +166,7 @@
             tuple(item for part in parts for item in part.ranges),
             tuple(part.next_fence for part in parts),
             tuple(versions),
+            era,
         )
     except ValueError as error:
         raise invalid_record(error) from error
@@ -243,7 +257,9 @@
 
 
 def initial_table(
-    service: str, shares: Sequence[tuple[str, str, int]]
+    service: str,
+    shares: Sequence[tuple[str, str, int]],
+    era: int = UNKNOWN_ERA,
 ) -> OwnershipTable:
     """Returns the initial table of a service.
 
@@ -251,6 +267,7 @@
       service: Name of the service.
       shares: Node, instance and number of shards, in the order of the ranges.
         A share that spans several parts is split at their boundaries.
+      era: Era of the store.
     """
     next_fences = [part + PARTS for part in range(PARTS)]
     ranges = []
@@ -264,4 +281,4 @@
             fence = allocate_fence(next_fences, item)
             ranges.append(attrs.evolve(item, fence=fence))
             first = last + 1
-    return OwnershipTable(service, tuple(ranges), tuple(next_fences))
+    return OwnershipTable(service, tuple(ranges), tuple(next_fences), era=era)
--- a/packages/assignment/tests/conftest.py
+++ b/packages/assignment/tests/conftest.py
@@ -57,7 +57,7 @@
 ) -> Node:
     """Returns a node that uses a store in memory."""
     store = memory_leased_store.connect(memory_store)
-    replica = replicas.Replica(store, fleet_view.PREFIX, ignore)
+    replica = replicas.Replica(store, fleet_view.PREFIX, ignore, now=clock)
     fleet = fleet_view.FleetView(replica, ignore)
     session = sessions.Session(
         store,
--- a/packages/assignment/tests/test_commits.py
+++ b/packages/assignment/tests/test_commits.py
@@ -28,7 +28,9 @@
         self.store = memory_leased_store.connect(self.memory_store)
         commits.create(
             self.store,
-            tables.initial_table("s", [("a", "a@1", HALF), ("b", "b@1", HALF)]),
+            tables.initial_table(
+                "s", [("a", "a@1", HALF), ("b", "b@1", HALF)], era=1
+            ),
         )
         self.replica = replicas.Replica(
             self.store, fleet_view.PREFIX, ignore, wait_s=0.0
@@ -73,7 +75,7 @@
 
     def test_owner_whose_entry_is_back_keeps_its_ranges(self):
         key = fleet_view.entry_key("a")
-        self.store.commit({}, [leased.Write(key, b"{}")], [])
+        self.store.commit({}, [leased.Write(key, b"{}")], [], 1)
         self.assertRaises(
             exceptions.Conflict,
             commits.commit,
@@ -134,7 +136,7 @@
         self.assertEqual(commits.MAX_ATTEMPTS, len(calls))
 
     def test_second_initial_table_is_a_conflict(self):
-        table = tables.initial_table("s", [("c", "c@1", 2 * HALF)])
+        table = tables.initial_table("s", [("c", "c@1", 2 * HALF)], era=1)
         self.assertRaises(
             exceptions.Conflict, commits.create, self.store, table
         )
@@ -145,7 +147,7 @@
         self.assertEqual([0, 3], tables.changed_parts(self.before, some))
 
     def test_table_with_a_missing_part_is_none(self):
-        self.store.commit({}, [], [fleet_view.part_key("s", 3)])
+        self.store.commit({}, [], [fleet_view.part_key("s", 3)], 1)
         replicas.apply_next_changes(self.replica)
         self.assertIsNone(fleet_view.ownership_table(self.fleet, "s"))
 
@@ -156,13 +158,14 @@
         data = tables.encode(self.before, 0)
         bad = data.replace(str(fence).encode(), str(fence + 1).encode(), 1)
         key = fleet_view.part_key("s", 0)
-        self.store.commit({}, [leased.Write(key, bad)], [])
+        self.store.commit({}, [leased.Write(key, bad)], [], 1)
         replicas.apply_next_changes(self.replica)
         self.assertIsNone(fleet_view.ownership_table(self.fleet, "s"))
         self.assertEqual(["store-value-unreadable"], events)
 
     def test_unchanged_table_is_decoded_once(self):
-        self.store.commit({}, [leased.Write(fleet_view.PREFIX + "x", b"")], [])
+        write = leased.Write(fleet_view.PREFIX + "x", b"")
+        self.store.commit({}, [write], [], 1)
         replicas.apply_next_changes(self.replica)
         self.assertIs(self.before, fleet_view.ownership_table(self.fleet, "s"))
 
--- a/packages/assignment/tests/test_grants.py
+++ b/packages/assignment/tests/test_grants.py
@@ -76,7 +76,9 @@
         )
         self.write(
             tables.initial_table(
-                "dispatch", [("n1", "n1@1", 32_768), ("n2", "n2@1", 32_768)]
+                "dispatch",
+                [("n1", "n1@1", 32_768), ("n2", "n2@1", 32_768)],
+                era=self.memory_store.era,
             )
         )
         sessions.confirm(self.node.session)
@@ -101,6 +103,7 @@
             "dispatch",
             [tables.decode(item.value) for item in items],
             [item.version for item in items],
+            self.memory_store.era,
         )
 
     def plan_first_move(self):
--- a/packages/assignment/tests/test_readers.py
+++ b/packages/assignment/tests/test_readers.py
@@ -44,13 +44,13 @@
 
     def write(self, key: str, value: bytes) -> None:
         """Writes one key into the store."""
-        self.store.commit({}, [leased.Write(key, value)], [])
+        self.store.commit({}, [leased.Write(key, value)], [], 1)
 
     def follower(self, name: str) -> readers.FollowerState:
         """Returns the state of a node that may follow a reader."""
 
-        def fetch_changes(reader, prefix, version):
-            self.requests.append((reader.name, prefix, version))
+        def fetch_changes(reader, prefix, version, era):
+            self.requests.append((reader.name, prefix, version, era))
             return self.respond()
 
         return readers.FollowerState(
@@ -104,12 +104,12 @@
         version = self.memory_store.version
         self.write("p/1", b"1")
         for _ in range(5):
-            self.assertEqual(1, len(watch("p/", version, 0.0).changes))
+            self.assertEqual(1, len(watch("p/", version, 0.0, 1).changes))
         # Each of the three readers was asked once.
-        self.assertEqual(3, len({name for name, _, _ in self.requests}))
+        self.assertEqual(3, len({name for name, *_ in self.requests}))
         self.assertEqual(3, len(self.requests))
         self.clock.now_s += readers.AVOID_S
-        watch("p/", version, 0.0)
+        watch("p/", version, 0.0, 1)
         self.assertEqual(4, len(self.requests))
 
     def test_watch_after_a_lost_reader_does_not_wait(self):
@@ -118,8 +118,8 @@
         # without changes for 8.7 s.
         waits = []
 
-        def watch_store(prefix, version, wait_s):
-            del prefix
+        def watch_store(prefix, version, wait_s, era):
+            del prefix, era
             waits.append(wait_s)
             return leased.Changes((), version)
 
@@ -127,9 +127,9 @@
         follower.store = attrs.evolve(self.store, watch=watch_store)
         watch = readers.watch(follower)
         self.respond = self.refuse
-        watch("p/", 1, 2.0)
+        watch("p/", 1, 2.0, 1)
         self.is_planner = True
-        watch("p/", 1, 2.0)
+        watch("p/", 1, 2.0, 1)
         self.assertEqual([0.0, 2.0], waits)
 
     def test_nodes_with_most_cores_are_readers(self):
@@ -151,7 +151,7 @@
         self.respond = refuse
         watch = readers.watch(self.follower("n20"))
         for _ in range(2):
-            watch("p/", self.memory_store.version, 0.0)
+            watch("p/", self.memory_store.version, 0.0, 1)
         self.assertEqual(2, len(self.requests))
 
     def test_reader_serves_only_while_it_is_current(self):
@@ -162,13 +162,13 @@
         self.write("waxwinglever/x", b"1")
         replicas.apply_next_changes(replica)
         self.assertRaises(
-            refused, readers.wait_for_changes, session, replica, version
+            refused, readers.wait_for_changes, session, replica, version, 1
         )
         sessions.confirm(session)
-        readers.wait_for_changes(session, replica, version)
+        readers.wait_for_changes(session, replica, version, 1)
         self.clock.now_s += readers.CURRENT_S
         self.assertRaises(
-            refused, readers.wait_for_changes, session, replica, version
+            refused, readers.wait_for_changes, session, replica, version, 1
         )
 
     def test_reader_confirmed_through_another_daemon_refuses(self):
@@ -182,4 +182,5 @@
             session,
             self.node.replica,
             0,
+            1,
         )
--- a/packages/assignment/tests/test_replicas.py
+++ b/packages/assignment/tests/test_replicas.py
@@ -26,16 +26,16 @@
 
     def write(self, key: str, value: bytes) -> None:
         """Writes one key into the store."""
-        self.store.commit({}, [leased.Write(key, value)], [])
+        self.store.commit({}, [leased.Write(key, value)], [], 1)
 
     def changes_for(self, version: int) -> list[tuple[str, bool]]:
         """Returns what a follower gets: the key, and whether it exists."""
-        found = replicas.changes_after(self.replica, version, 0.0)
+        found = replicas.changes_after(self.replica, version, 1, 0.0)
         return [(c.key, c.item is not None) for c in found.changes]
 
     def test_follower_gets_writes_and_removals_in_order(self):
         self.write("p/2", b"2")
-        self.store.commit({}, [], ["p/1"])
+        self.store.commit({}, [], ["p/1"], 1)
         replicas.apply_next_changes(self.replica)
         self.assertEqual(
             [("p/2", True), ("p/1", False)], self.changes_for(self.start)
@@ -52,7 +52,7 @@
 
     def test_removal_found_by_reading_the_prefix_is_reported(self):
         # The store has dropped its history, so no watch returns the removal.
-        self.store.commit({}, [], ["p/1"])
+        self.store.commit({}, [], ["p/1"], 1)
         self.write("p/2", b"2")
         memory_leased_store.compact_history(self.memory_store)
         self.assertRaises(
@@ -78,3 +78,48 @@
         self.assertFalse(replicas.apply_next_changes(self.replica))
         self.write("p/2", b"2")
         self.assertTrue(replicas.apply_next_changes(self.replica))
+
+    def test_restored_store_replaces_items_of_higher_versions(self):
+        copy = memory_leased_store.copy_store(self.memory_store)
+        self.write("p/1", b"lost")
+        self.write("p/2", b"lost")
+        replicas.apply_next_changes(self.replica)
+        memory_leased_store.restore_store(self.memory_store, copy)
+        self.store.get("p/1")
+        self.assertRaises(
+            leased.StoreRestored, replicas.apply_next_changes, self.replica
+        )
+        replicas.read_prefix(self.replica)
+        values = {k: i.value for k, i in self.replica.items.items()}
+        self.assertEqual({"p/1": b"1"}, values)
+        self.assertEqual(copy.version, self.replica.version)
+
+    def test_changes_after_a_restore_are_watched_without_listing_again(self):
+        copy = memory_leased_store.copy_store(self.memory_store)
+        self.write("p/1", b"lost")
+        replicas.apply_next_changes(self.replica)
+        memory_leased_store.restore_store(self.memory_store, copy)
+        replicas.read_prefix(self.replica)
+        self.memory_store.calls.clear()
+        self.store.commit({}, [leased.Write("p/2", b"2")], [], 2)
+        replicas.apply_next_changes(self.replica)
+        self.assertIn("p/2", self.replica.items)
+        self.assertNotIn("list", self.memory_store.calls)
+
+    def test_follower_of_an_earlier_era_is_refused(self):
+        # Its version may be above all versions since the restore, so it would
+        # get no changes for a long time.
+        copy = memory_leased_store.copy_store(self.memory_store)
+        self.write("p/1", b"lost")
+        replicas.apply_next_changes(self.replica)
+        version = self.replica.version
+        memory_leased_store.restore_store(self.memory_store, copy)
+        replicas.read_prefix(self.replica)
+        self.assertRaises(leased.HistoryCompacted, self.changes_for, version)
+
+    def test_item_from_before_a_restore_is_not_current(self):
+        copy = memory_leased_store.copy_store(self.memory_store)
+        memory_leased_store.restore_store(self.memory_store, copy)
+        self.assertIsNotNone(replicas.current_item(self.replica, "p/1"))
+        self.store.get("p/1")
+        self.assertIsNone(replicas.current_item(self.replica, "p/1"))
--- a/packages/assignment/tests/test_sessions.py
+++ b/packages/assignment/tests/test_sessions.py
@@ -90,3 +90,34 @@
     def test_close_removes_the_entry(self):
         sessions.close(self.session)
         self.assertNotIn(fleet_view.entry_key("n1"), self.memory_store.items)
+
+    def restore(self, copy):
+        memory_leased_store.restore_store(self.memory_store, copy)
+
+    def test_lease_id_given_out_again_is_not_renewed(self):
+        # The store gives the lost lease's id to another node.
+        sessions.close(self.session)
+        copy = memory_leased_store.copy_store(self.memory_store)
+        sessions.reset_lease(self.session)
+        sessions.confirm(self.session)
+        self.restore(copy)
+        other = memory_leased_store.connect(self.memory_store).open_lease(2.0)
+        self.assertEqual(self.session.lease.id, other.id)
+        end_s = self.memory_store.leases[other.id][0]
+        self.session.store.get("x")
+        self.clock.now_s += 0.5
+        self.assertRaises(leased.StoreRestored, sessions.confirm, self.session)
+        self.assertEqual(end_s, self.memory_store.leases[other.id][0])
+
+    def test_restore_keeps_the_session_valid_until_a_new_lease_is_opened(self):
+        copy = memory_leased_store.copy_store(self.memory_store)
+        self.restore(copy)
+        valid_until_s = sessions.valid_until_s(self.session)
+        self.assertRaises(leased.StoreRestored, sessions.confirm, self.session)
+        sessions.forget_lease(self.session)
+        self.assertEqual(valid_until_s, sessions.valid_until_s(self.session))
+        self.clock.now_s += 0.5
+        sessions.confirm(self.session)
+        self.assertEqual(2, self.session.lease.era)
+        item = self.memory_store.items[fleet_view.entry_key("n1")]
+        self.assertEqual(self.session.lease.id, item.lease)
--- a/packages/hops/src/waxwinglever_hops/control.py
+++ b/packages/hops/src/waxwinglever_hops/control.py
@@ -95,15 +95,16 @@
 
     Args:
       control: The state of the control calls.
-      query: VERSION/PREFIX; the prefix of the keys is percent-encoded.
+      query: ERA/VERSION/PREFIX; the prefix of the keys is percent-encoded.
     """
-    version, _, prefix = query.partition("/")
+    era, _, rest = query.partition("/")
+    version, _, prefix = rest.partition("/")
     replica = control.replicas.get(urllib.parse.unquote(prefix))
-    if replica is None or not version.isdigit():
+    if replica is None or not (era.isdigit() and version.isdigit()):
         return server.HttpResponse(404, (), b"")
     try:
         changes = readers.wait_for_changes(
-            control.session, replica, int(version)
+            control.session, replica, int(version), int(era)
         )
     except leased.HistoryCompacted:
         return server.HttpResponse(GONE_STATUS, (), b"")
@@ -154,19 +155,20 @@
 
 def changes_client(
     client: http_client.Client,
-) -> Callable[[fleet_view.Member, str, int], leased.Changes]:
+) -> Callable[[fleet_view.Member, str, int, int], leased.Changes]:
     """Returns a function that requests changes of the store from a reader.
 
     A reader is a node that watches the store itself. The function takes the
-    reader, the prefix of the keys and the last known version. It raises
-    HistoryCompacted if the reader no longer has all changes, and
-    PeerUnavailable if the reader is unreachable or may be out of date.
+    reader, the prefix of the keys, the last known version and the era of the
+    store that this version belongs to. It raises HistoryCompacted if the reader
+    no longer has all changes or is in another era, and PeerUnavailable if the
+    reader is unreachable or may be out of date.
     """
 
     def fetch_changes(
-        reader: fleet_view.Member, prefix: str, version: int
+        reader: fleet_view.Member, prefix: str, version: int, era: int
     ) -> leased.Changes:
-        path = f"{CHANGES_PATH}{version}/{urllib.parse.quote(prefix)}"
+        path = f"{CHANGES_PATH}{era}/{version}/{urllib.parse.quote(prefix)}"
         response = control_request(
             client,
             reader.address,
--- a/packages/relay/tests/conftest.py
+++ b/packages/relay/tests/conftest.py
@@ -152,6 +152,7 @@
                 )
             ],
             [],
+            1,
         )
     if table is not None:
         commits.create(store, table)
--- a/packages/relay/tests/test_ingress.py
+++ b/packages/relay/tests/test_ingress.py
@@ -28,7 +28,7 @@
         self.attempts = ingress.Attempts()
         self.clock = self.build.Clock()
         table = tables.initial_table(
-            "dispatch", [("n1", "n1@1", HALF), ("n2", "n2@1", HALF)]
+            "dispatch", [("n1", "n1@1", HALF), ("n2", "n2@1", HALF)], era=1
         )
         members = [self.build.make_member(n, "dispatch") for n in ("n1", "n2")]
         members += [self.build.make_member(n, "intake") for n in ("m1", "m2")]
--- a/packages/standins/src/waxwinglever_standins/fleet_simulation.py
+++ b/packages/standins/src/waxwinglever_standins/fleet_simulation.py
@@ -165,9 +165,9 @@
         return simulation.now_s
 
     node.up = True
-    node.replica = replicas.Replica(store, fleet_view.PREFIX, log)
+    node.replica = replicas.Replica(store, fleet_view.PREFIX, log, now=now)
     key = fleet_view.entry_key(node.name)
-    node.entry = replicas.Replica(store, key, log)
+    node.entry = replicas.Replica(store, key, log, now=now)
     node.fleet = fleet_view.FleetView(node.replica, log, now=now)
     node.voter = promises.VoterState(now=now)
     member = fleet_view.Member(
@@ -184,7 +184,7 @@
     node.session = sessions.Session(
         store,
         member,
-        lambda: node.entry.items.get(key),
+        lambda: replicas.current_item(node.entry, key),
         log,
         lambda: request_promises(simulation, node),
         now=now,
@@ -309,12 +309,15 @@
         with_faults(memory_store.get),
         with_faults(memory_store.list_prefix),
         with_faults(
-            lambda prefix, after, _: memory_store.watch(prefix, after, 0)
+            lambda prefix, after, _, era: memory_store.watch(
+                prefix, after, 0, era
+            )
         ),
         with_faults(memory_store.commit, True),
         with_faults(memory_store.open_lease),
         with_faults(memory_store.renew),
         with_faults(memory_store.end_lease),
+        era=memory_store.era,
     )
 
 
--- a/packages/store/src/waxwinglever_store/leased.py
+++ b/packages/store/src/waxwinglever_store/leased.py
@@ -1,4 +1,9 @@
-"""Interface of a store with leases, transactions and watches on prefixes."""
+"""Interface of a store with leases, transactions and watches on prefixes.
+
+The store can be restored from a copy. It then starts a new era: its versions
+and lease ids go back to those of the copy and are given out again, so neither
+may be compared with one of another era.
+"""
 
 from collections.abc import Callable, Iterable, Mapping
 
@@ -23,6 +28,15 @@
     kind = "history-gone"
 
 
+class StoreRestored(exceptions.WaxwingleverError):
+    """The store was restored, so a version or lease of the caller is void.
+
+    A transaction that raises it may have taken effect.
+    """
+
+    kind = "store-restored"
+
+
 class VersionConflict(exceptions.Conflict):
     """A transaction found a version other than the expected one.
 
@@ -61,13 +75,15 @@
 
     Attributes:
       items: The items. They are read page by page and may belong to different
-        versions of the store.
+        versions of the store, but to the same era.
       version: Version of the store before the first page was read; a watch
         from this version misses no change.
+      era: Era of the store.
     """
 
     items: tuple[Item, ...]
     version: int
+    era: int = 0
 
 
 @attrs.frozen
@@ -87,6 +103,14 @@
     version: int
 
 
+@attrs.frozen
+class Lease:
+    """A lease; `era` is the era of the store in which it was opened."""
+
+    id: int
+    era: int = 0
+
+
 @attrs.frozen
 class Write:
     """A key that a transaction writes; `lease` is the lease to bind it to."""
@@ -100,34 +124,42 @@
 class LeasedStoreClient:
     """Functions of the client of a store with leases.
 
-    All but `is_direct` raise StoreUnavailable if a call fails. A change may
-    then have taken effect, or may take effect seconds later if its condition
-    still holds.
+    All but `is_direct` and `era` raise StoreUnavailable if a call fails. A
+    change may then have taken effect, or may take effect seconds later if its
+    condition still holds. An answer from an era before the newest known one
+    counts as a failure.
+
+    The functions that take an era or a Lease raise StoreRestored if the store
+    is in a later era. They send nothing if the client knows that before.
 
     Attributes:
       get: Returns the item of a key, or None.
       list_prefix: Returns the Listing of a prefix.
       watch: Returns the Changes after a version as soon as there are any, or
         empty Changes after a timeout. The arguments are the prefix of the
-        keys, the version and the timeout in seconds. Raises HistoryCompacted
-        if the version is too old.
+        keys, the version, the timeout in seconds and the era of the version.
+        Raises HistoryCompacted if the version is too old.
       commit: Runs a transaction and returns the new version. The arguments are
         the expected versions of keys (ABSENT for a key that must not exist),
-        the writes, and the keys to remove. Raises VersionConflict if a version
-        differs, and LeaseExpired if a lease has ended; nothing is changed
-        then.
-      open_lease: Returns the id of a new lease of a duration in seconds.
-      renew: Renews a lease. Raises LeaseExpired if it has ended.
-      end_lease: Ends a lease and removes its keys.
+        the writes, the keys to remove and the era of the versions and leases.
+        Raises VersionConflict if a version differs, and LeaseExpired if a lease
+        has ended; nothing is changed then.
+      open_lease: Returns a new Lease of a duration in seconds.
+      renew: Renews a Lease. Raises LeaseExpired if it has ended.
+      end_lease: Ends a Lease and removes its keys.
       is_direct: Returns whether the last call reached the store directly, not
         through another daemon.
+      era: Returns the newest era that an answer of the store has named.
     """
 
     get: Callable[[str], Item | None]
     list_prefix: Callable[[str], Listing]
-    watch: Callable[[str, int, float], Changes]
-    commit: Callable[[Mapping[str, int], Iterable[Write], Iterable[str]], int]
-    open_lease: Callable[[float], int]
-    renew: Callable[[int], None]
-    end_lease: Callable[[int], None]
+    watch: Callable[[str, int, float, int], Changes]
+    commit: Callable[
+        [Mapping[str, int], Iterable[Write], Iterable[str], int], int
+    ]
+    open_lease: Callable[[float], Lease]
+    renew: Callable[[Lease], None]
+    end_lease: Callable[[Lease], None]
     is_direct: Callable[[], bool] = lambda: True
+    era: Callable[[], int] = lambda: 0
