--- a/packages/assignment/src/waxwinglever_assignment/fleet_view.py
+++ b/packages/assignment/src/waxwinglever_assignment/fleet_view.py
@@ -101,6 +101,8 @@
       now: Returns the time in seconds.
       member_cache: All members, and the revision of the replica for which
         the list was made.
+      voters_seen: Version and era of the list of voters, and when that list was
+        noticed.
       departed: Members whose entries were removed, and when that was noticed.
       table_cache: Table of each service, and the revision of the replica
         for which it was made.
@@ -111,6 +113,7 @@
     decoded: dict[str, tuple[leased.Item, object]] = attrs.Factory(dict)
     now: Callable[[], float] = clock.boottime_s
     member_cache: tuple[int, tuple[Member, ...]] = (-1, ())
+    voters_seen: tuple[int, int, float] = (0, 0, float("-inf"))
     departed: dict[str, tuple[Member, float]] = attrs.Factory(dict)
     table_cache: dict[str, tuple[int, tables.OwnershipTable | None]] = (
         attrs.Factory(dict)
@@ -160,6 +163,7 @@
             tuple(m for m in found if m is not None),
         )
         update_departed(fleet, before)
+        update_voters_seen(fleet)
     return fleet.member_cache[1]
 
 
@@ -178,6 +182,15 @@
         del fleet.departed[name]
 
 
+def update_voters_seen(fleet: FleetView) -> None:
+    """Notes when the current list of voters was first seen."""
+    items, era, _ = replicas.snapshot(fleet.replica)
+    item = items.get(VOTERS)
+    version = item.version if item is not None else 0
+    if fleet.voters_seen[:2] != (version, era):
+        fleet.voters_seen = (version, era, fleet.now())
+
+
 def find_recent_member(fleet: FleetView, name: str) -> Member | None:
     """Returns a member with an entry, or whose entry was removed recently.
 
@@ -200,6 +213,21 @@
     return read_decoded(fleet, VOTERS, promises.decode)
 
 
+def recent_voter_list(fleet: FleetView) -> promises.VoterList | None:
+    """Returns the list of voters; the previous one only after a recent change.
+
+    `before` is empty if the list was first seen longer than PREDECESSOR_S ago.
+    """
+    list_members(fleet)
+    record = voter_list(fleet)
+    if (
+        record is not None
+        and fleet.now() - fleet.voters_seen[2] >= promises.PREDECESSOR_S
+    ):
+        return attrs.evolve(record, before=())
+    return record
+
+
 def find_member(fleet: FleetView, name: str) -> Member | None:
     """Returns the member of a name, or None when it has no entry."""
     return read_decoded(fleet, entry_key(name), decode_member)
--- a/packages/assignment/src/waxwinglever_assignment/grants.py
+++ b/packages/assignment/src/waxwinglever_assignment/grants.py
@@ -133,6 +133,31 @@
     return None
 
 
+def ranges_held_since_restore(
+    grant_manager: GrantManager,
+) -> tuple[tables.Range, ...]:
+    """Returns the held ranges whose record is older than the store's era.
+
+    Nobody else can have got these ranges, as this node has held them since
+    before the restore. The planner writes them to the table again.
+    """
+    era = grant_manager.store.era()
+    now_s = grant_manager.now()
+    with grant_manager.lock:
+        return tuple(
+            item
+            for fence, item in grant_manager.ranges.items()
+            if not tables.is_current(item, era)
+            and fence not in grant_manager.releasing
+            and grant_manager.grant_end_s[fence] > now_s
+        )
+
+
+def outdated_eras(grant_manager: GrantManager) -> set[int]:
+    """Returns the earlier eras in which held ranges were recorded."""
+    return {item.era for item in ranges_held_since_restore(grant_manager)}
+
+
 def run_grants(grant_manager: GrantManager) -> None:
     """Renews the grants until `stopping` is set; runs in a thread."""
     known = -1
@@ -185,24 +210,36 @@
     than the session's entry, or when the two belong to different eras of the
     store.
     """
-    if (
-        grant_manager.fleet.replica.version
-        < grant_manager.session.min_record_version
-    ):
+    session = grant_manager.session
+    if grant_manager.fleet.replica.version < session.min_record_version:
         return None
-    if sessions.valid_until_s(grant_manager.session) <= grant_manager.now():
+    if sessions.valid_until_s(session) <= grant_manager.now():
         return None
     table = fleet_view.ownership_table(
         grant_manager.fleet, grant_manager.service
     )
-    if table is not None and table.era != grant_manager.session.lease.era:
+    if table is not None and table.era != session.lease.era:
         return None
     return table
 
 
+def current_ranges(
+    grant_manager: GrantManager, table: tables.OwnershipTable
+) -> tuple[tables.Range, ...]:
+    """Returns the ranges that this node owns by up-to-date records."""
+    return tuple(
+        item
+        for item in tables.owned_ranges(table, grant_manager.name)
+        if tables.is_current(item, table.era)
+    )
+
+
 def renew_grants(grant_manager: GrantManager) -> None:
     """Grants or renews the ranges of this node that should not move.
 
+    While the table can't be used or lacks up-to-date records after a restore of
+    the store, the ranges that are held are renewed as long as they are valid.
+
     Raises:
       Conflict: The ownership table changed while ranges were claimed.
       StoreUnavailable: The store did not answer a claim.
@@ -210,27 +247,32 @@
     with grant_manager.send_lock:
         member = grant_manager.session.member
         reset_on_restart(grant_manager, member.instance)
-        table = usable_table(grant_manager)
-        if (
-            table is None
-            or not member.instance
-            or member.state == fleet_view.DOWN
-        ):
-            return
-        owned = tables.owned_ranges(table, grant_manager.name)
-        sync_ranges(grant_manager, owned)
-        if any(item.instance != member.instance for item in owned):
-            claim_ranges(grant_manager, table, member.instance)
+        if not member.instance or member.state == fleet_view.DOWN:
             return
+        table = usable_table(grant_manager)
+        owned = ()
+        if table is not None:
+            owned = current_ranges(grant_manager, table)
+            sync_ranges(grant_manager, table)
+            if any(item.instance != member.instance for item in owned):
+                claim_ranges(grant_manager, table, member.instance)
+                return
+        held = ranges_held_since_restore(grant_manager)
         with grant_manager.lock:
-            # A range whose move was cancelled is granted again.
-            grant_manager.releasing &= {
-                item.fence for item in owned if item.to_node
-            }
+            if table is not None:
+                # A range whose move was cancelled is granted again, unless the
+                # record of its move was lost in a restore of the store.
+                grant_manager.releasing &= {
+                    item.fence for item in owned if item.to_node
+                } | {
+                    fence
+                    for fence, item in grant_manager.ranges.items()
+                    if not tables.is_current(item, table.era)
+                }
             due_s = grant_manager.now() + RENEW_BELOW_S
             due = [
                 item
-                for item in owned
+                for item in (*owned, *held)
                 if not item.to_node
                 and item.fence not in grant_manager.releasing
                 and (
@@ -257,18 +299,23 @@
 
 
 def sync_ranges(
-    grant_manager: GrantManager, owned: tuple[tables.Range, ...]
+    grant_manager: GrantManager, table: tables.OwnershipTable
 ) -> None:
     """Updates the held ranges to those that this node owns.
 
-    A range that was split keeps its fence for one of the pieces.
+    A range that was split keeps its fence for one of the pieces. A range that
+    is held since before a restore of the store stays until the table has an
+    up-to-date record of its shards.
     """
-    known = {item.fence: item for item in owned}
+    known = {item.fence: item for item in current_ranges(grant_manager, table)}
     with grant_manager.lock:
-        for fence in list(grant_manager.ranges):
+        for fence, item in list(grant_manager.ranges.items()):
             if fence in known:
                 grant_manager.ranges[fence] = known[fence]
-            else:
+            elif tables.is_current(item, table.era) or any(
+                tables.is_current(other, table.era)
+                for other in tables.overlapping_ranges(table, item)
+            ):
                 del grant_manager.ranges[fence]
                 del grant_manager.grant_end_s[fence]
 
@@ -288,7 +335,7 @@
     def claimed(current: tables.OwnershipTable) -> tables.OwnershipTable:
         changes = {
             item.fence: {"instance": instance, "handover": "", "to_node": ""}
-            for item in tables.owned_ranges(current, grant_manager.name)
+            for item in current_ranges(grant_manager, current)
             if item.instance != instance
         }
         return tables.update_ranges(current, changes)
@@ -300,7 +347,7 @@
 def grant(grant_manager: GrantManager, item: tables.Range) -> None:
     """Grants or renews one range; failures are logged."""
     sent_s = grant_manager.now()
-    valid_s = sessions.valid_until_s(grant_manager.session) - sent_s
+    valid_s = valid_until_s(grant_manager, item) - sent_s
     hold_s = valid_s / CLOCK_FACTOR - DELIVERY_S
     if hold_s < MIN_HOLD_S:
         return
@@ -335,6 +382,14 @@
             grant_manager.ranges[item.fence] = item
 
 
+def valid_until_s(grant_manager: GrantManager, item: tables.Range) -> float:
+    """Returns the time until which the node may hold a range."""
+    session = grant_manager.session
+    if tables.is_current(item, grant_manager.store.era()):
+        return sessions.valid_until_s(session)
+    return sessions.outdated_valid_until_s(session, item.era)
+
+
 def hand_over_ranges(grant_manager: GrantManager) -> None:
     """Releases the ranges that should move and assigns them to the new owners.
 
@@ -347,9 +402,7 @@
     if table is None:
         return
     moving = [
-        item
-        for item in tables.owned_ranges(table, grant_manager.name)
-        if item.to_node
+        item for item in current_ranges(grant_manager, table) if item.to_node
     ]
     if (
         not moving
@@ -359,7 +412,7 @@
         # While the store is unavailable, a released range could not be assigned
         # to its new owner and would have no owner that serves it.
         return
-    sync_ranges(grant_manager, tables.owned_ranges(table, grant_manager.name))
+    sync_ranges(grant_manager, table)
     with grant_manager.lock:
         grant_manager.releasing |= {item.fence for item in moving}
     with grant_manager.send_lock:
@@ -467,7 +520,7 @@
     A range whose next owner has no entry is left out.
     """
     changes = {}
-    for item in tables.owned_ranges(table, grant_manager.name):
+    for item in current_ranges(grant_manager, table):
         if item.fence not in tokens or not item.to_node:
             continue
         target = fleet_view.find_member(grant_manager.fleet, item.to_node)
--- a/packages/assignment/src/waxwinglever_assignment/loads.py
+++ b/packages/assignment/src/waxwinglever_assignment/loads.py
@@ -42,10 +42,14 @@
     Attributes:
       rates: Requests a second for each bucket, served or not.
       service_s: Mean time that a request occupies a slot; 0 when unknown.
+      era: Era of the store that the node knows.
+      held: Ranges that the node holds and whose record is older than this era.
     """
 
     rates: dict[int, float]
     service_s: float
+    era: int = 0
+    held: tuple[tables.Range, ...] = ()
 
 
 def bucket_of(shard: int) -> int:
@@ -79,15 +83,20 @@
     load_meter.decayed_s = now_s
 
 
-def make_report(load_meter: LoadMeter, service_s: float) -> LoadReport:
-    """Returns the current rates and the given service time as a report."""
+def make_report(
+    load_meter: LoadMeter,
+    service_s: float,
+    era: int = 0,
+    held: tuple[tables.Range, ...] = (),
+) -> LoadReport:
+    """Returns a report with the current rates and the other given fields."""
     with load_meter.lock:
         decay(load_meter)
         rates = {
             bucket: round(value / DECAY_TIME_S, 2)
             for bucket, value in load_meter.counts.items()
         }
-    return LoadReport(rates, service_s)
+    return LoadReport(rates, service_s, era, held)
 
 
 def merge_rates(reports: Mapping[str, LoadReport]) -> dict[int, float]:
--- a/packages/assignment/src/waxwinglever_assignment/planner.py
+++ b/packages/assignment/src/waxwinglever_assignment/planner.py
@@ -33,6 +33,8 @@
 BALANCE_S = 0.8
 # Interval between requests for load reports.
 REPORT_S = 0.3
+# Concurrent requests for load reports.
+REPORT_THREADS = 8
 # Assumed time that a request occupies a slot until a node has measured it.
 DEFAULT_SERVICE_S = 0.15
 # Share of its capacity that a backend server has during its cold start; in the
@@ -61,18 +63,26 @@
         PeerUnavailable.
       request_clearance: Asks a voter to clear an owner for takeover and returns
         the result of promises.clear_takeover; raises PeerUnavailable.
+      request_era_clearance: Asks a voter to clear all eras before one and
+        returns the result of promises.clear_earlier_eras; raises
+        PeerUnavailable.
       log: Called with an event name and fields.
+      first_start: Whether the whole system starts for the first time, so that
+        nobody has had a list of voters before.
       now: Returns the time in seconds.
       missing: When each owner without an entry was first noticed.
       receiver_counts: Number of members of each service that may get ranges,
         and when it last changed.
       balanced_s: When balance was last planned for each service.
       reports: Latest load report of each member.
+      asked: Members that were asked for a report in this era.
       cleared: Owners that a majority of the voters cleared for takeover.
       voters_seen: Era and version of the list of voters, and when it was first
         seen.
       era: Era of the store that the fields above belong to.
+      cleared_era: Era for which all earlier ones were cleared.
       voter_executor: Threads that ask voters.
+      report_executor: Threads that fetch load reports.
       is_planner: Whether this node is the planner.
       stopping: Set when the threads must end.
     """
@@ -85,18 +95,25 @@
     can_be_planner: Callable[[], bool]
     fetch_load_report: Callable[[fleet_view.Member], loads.LoadReport]
     request_clearance: Callable[[str, str], float | None]
+    request_era_clearance: Callable[[str, int], float | None]
     log: Callable[..., None]
+    first_start: bool = False
     now: Callable[[], float] = clock.boottime_s
     missing: dict[str, float] = attrs.Factory(dict)
     receiver_counts: dict[str, tuple[int, float]] = attrs.Factory(dict)
     balanced_s: dict[str, float] = attrs.Factory(dict)
-    reports: dict[str, loads.LoadReport] = attrs.Factory(dict)
+    reports: dict[str, loads.LoadReport] = attrs.field(factory=dict)
+    asked: set[str] = attrs.Factory(set)
     cleared: set[str] = attrs.Factory(set)
     voters_seen: tuple[int, int, float] = (0, -1, 0.0)
     era: int = 0
+    cleared_era: int = -1
     voter_executor: futures.ThreadPoolExecutor = attrs.Factory(
         lambda: futures.ThreadPoolExecutor(promises.MAX_VOTERS, "voters")
     )
+    report_executor: futures.ThreadPoolExecutor = attrs.Factory(
+        lambda: futures.ThreadPoolExecutor(REPORT_THREADS, "reports")
+    )
     is_planner: bool = False
     stopping: threading.Event = attrs.Factory(threading.Event)
 
@@ -150,18 +167,16 @@
         planner.missing.clear()
         planner.cleared.clear()
         planner.reports.clear()
+        planner.asked.clear()
 
 
 def confirmed_recently(planner: Planner) -> bool:
     """Returns whether the store confirmed the session recently.
 
-    The session must belong to the era of the replica.
+    The confirmation must belong to the era of the replica.
     """
-    session = planner.session
-    return (
-        session.lease.era == planner.era
-        and planner.now() - session.confirmed_s < MAX_CONFIRMATION_AGE_S
-    )
+    confirmed_s = planner.session.confirmations.get(planner.era, float("-inf"))
+    return planner.now() - confirmed_s < MAX_CONFIRMATION_AGE_S
 
 
 def update_role(planner: Planner) -> None:
@@ -250,21 +265,9 @@
         # Without voters there can be no promises.
         return True
     voters = sorted({*record.names, *record.before} - {name})
-
-    def ask_voter(voter: str) -> str | None:
-        try:
-            return (
-                voter if planner.request_clearance(voter, name) == 0.0 else None
-            )
-        except exceptions.WaxwingleverError as error:
-            planner.log("voter-silent", voter=voter, error=error.message)
-            return None
-
-    agreeing = [
-        v
-        for v in planner.voter_executor.map(ask_voter, voters)
-        if v is not None
-    ]
+    agreeing = clearing_voters(
+        planner, voters, lambda voter: planner.request_clearance(voter, name)
+    )
     cleared = promises.is_majority(
         record.names, agreeing
     ) and promises.is_majority(record.before, agreeing)
@@ -280,10 +283,73 @@
     return cleared
 
 
+def clearing_voters(
+    planner: Planner,
+    voters: Sequence[str],
+    request: Callable[[str], float | None],
+) -> list[str]:
+    """Returns the voters that have no promise outstanding.
+
+    Args:
+      planner: State of the planner.
+      voters: Names of the voters to ask.
+      request: Asks a voter; returns seconds until its last promise ends, or
+        None if it doesn't know; raises PeerUnavailable.
+    """
+
+    def ask_voter(voter: str) -> bool:
+        try:
+            return request(voter) == 0.0
+        except exceptions.WaxwingleverError as error:
+            planner.log("voter-silent", voter=voter, error=error.message)
+            return False
+
+    answers = planner.voter_executor.map(ask_voter, voters)
+    return [voter for voter, clears in zip(voters, answers) if clears]
+
+
+def obtain_era_clearance(planner: Planner) -> bool:
+    """Asks the voters to clear all eras before the current one.
+
+    Returns:
+      Whether nobody can hold a range since an earlier era. That is certain
+      EXPIRED_S after the restore, and earlier if majorities of the list of
+      voters from before the restore and of its predecessor have no promise for
+      an earlier era outstanding.
+    """
+    if planner.cleared_era == planner.era:
+        return True
+    age_s = planner.now() - planner.fleet.replica.era_seen_s
+    if age_s < sessions.TAKEOVER_WAIT_S:
+        return False
+    agreeing = []
+    cleared = age_s >= promises.EXPIRED_S
+    record = fleet_view.voter_list(planner.fleet)
+    if not cleared and record is not None and record.era < planner.era:
+        agreeing = clearing_voters(
+            planner,
+            sorted({*record.names, *record.before}),
+            lambda voter: planner.request_era_clearance(voter, planner.era),
+        )
+        cleared = promises.is_majority(
+            record.names, agreeing
+        ) and promises.is_majority(record.before, agreeing)
+    planner.log(
+        "era-cleared" if cleared else "era-not-cleared",
+        era=planner.era,
+        age_s=round(age_s, 3),
+        agreeing=len(agreeing),
+    )
+    if cleared:
+        planner.cleared_era = planner.era
+    return cleared
+
+
 def update_voters(planner: Planner) -> None:
     """Writes the next list of voters, at most once in VOTERS_CHANGE_S.
 
-    The first list is written after SETTLE_S.
+    The first list of a new system is written after SETTLE_S. A list that is
+    missing later may have been lost in a restore of the store.
 
     Raises:
       Conflict: Another node changed the list first.
@@ -300,11 +366,14 @@
     ]
     record = fleet_view.voter_list(planner.fleet)
     waited_s = now_s - planner.voters_seen[2]
-    if waited_s < (
-        promises.VOTERS_CHANGE_S if record is not None else SETTLE_S
-    ):
+    is_first = (
+        record is None
+        and planner.first_start
+        and not planner.fleet.replica.restored
+    )
+    if waited_s < (SETTLE_S if is_first else promises.VOTERS_CHANGE_S):
         return
-    next_list = promises.next_voters(record, present)
+    next_list = promises.next_voters(record, present, planner.era)
     if next_list is None:
         return
     planner.store.commit(
@@ -334,9 +403,13 @@
     if table is None:
         create_initial_table(planner, service, members)
         return
+    if table.era != planner.era:
+        return
     now_s = planner.now()
     names = {member.name for member in members}
     reports = {n: r for n, r in planner.reports.items() if n in names}
+    if update_outdated_ranges(planner, table, members, reports):
+        return
     plan_input = planning.PlanInput(
         table,
         members,
@@ -355,6 +428,82 @@
     write_plan(planner, service, plan_input, planned)
 
 
+def update_outdated_ranges(
+    planner: Planner,
+    table: tables.OwnershipTable,
+    members: Sequence[fleet_view.Member],
+    reports: Mapping[str, loads.LoadReport],
+) -> bool:
+    """Brings records from before a restore of the store up to date.
+
+    Ranges that a member has held since before the restore are written as its
+    own. Any other may be held by a node that the restored table doesn't name.
+    When no grant from before the restore can be in force, they stay with their
+    recorded owner under a new fence, or are free to be placed.
+
+    Returns:
+      Whether the table was written.
+
+    Raises:
+      Conflict: Another node changed the table first.
+      StoreRestored: The store was restored since the replica was read.
+      StoreUnavailable: The store did not answer.
+    """
+    if all(tables.is_current(item, table.era) for item in table.ranges):
+        return False
+    after = table
+    for name, report in sorted(reports.items()):
+        if report.era == table.era:
+            after = tables.confirm_held(after, name, report.held)
+    cleared = (
+        any(not tables.is_current(item, table.era) for item in after.ranges)
+        # A member that holds ranges must have had the chance to report them.
+        and {member.name for member in members} <= planner.asked
+        and obtain_era_clearance(planner)
+    )
+    if cleared:
+        after = renew_outdated_ranges(after, members)
+    if after == table:
+        return False
+    commits.commit(planner.store, table, after)
+    planner.log(
+        "ranges-confirmed",
+        service=table.service,
+        era=table.era,
+        cleared=cleared,
+        outdated=sum(
+            not tables.is_current(item, table.era) for item in after.ranges
+        ),
+        ranges=len(after.ranges),
+    )
+    return True
+
+
+def renew_outdated_ranges(
+    table: tables.OwnershipTable, members: Sequence[fleet_view.Member]
+) -> tables.OwnershipTable:
+    """Returns the table with new fences for its outdated ranges.
+
+    Ranges of nodes that are no members lose their owner.
+    """
+    instances = {member.name: member.instance for member in members}
+    return tables.update_ranges(
+        table,
+        {
+            item.fence: {
+                "node": item.node
+                if item.node in instances
+                else tables.NO_OWNER,
+                "instance": instances.get(item.node, ""),
+                "handover": "",
+                "to_node": tables.NO_OWNER,
+            }
+            for item in table.ranges
+            if not tables.is_current(item, table.era)
+        },
+    )
+
+
 def write_plan(
     planner: Planner,
     service: str,
@@ -432,16 +581,30 @@
             planner.reports.clear()
             continue
         services = set(planner.services())
-        for member in fleet_view.list_members(planner.fleet):
-            if member.service not in services:
-                continue
-            try:
-                planner.reports[member.name] = planner.fetch_load_report(member)
-            except exceptions.WaxwingleverError as error:
-                planner.reports.pop(member.name, None)
-                planner.log(
-                    "load-unknown", node_name=member.name, error=error.message
-                )
+        # In parallel, as silent nodes must not delay the reports of ranges that
+        # others hold since before a restore.
+        list(
+            planner.report_executor.map(
+                lambda member: fetch_report(planner, member),
+                [
+                    member
+                    for member in fleet_view.list_members(planner.fleet)
+                    if member.service in services
+                ],
+            )
+        )
+
+
+def fetch_report(planner: Planner, member: fleet_view.Member) -> None:
+    """Fetches the load report of a member; a failure is logged."""
+    era = planner.era
+    try:
+        planner.reports[member.name] = planner.fetch_load_report(member)
+    except exceptions.WaxwingleverError as error:
+        planner.reports.pop(member.name, None)
+        planner.log("load-unknown", node_name=member.name, error=error.message)
+    if era == planner.era:
+        planner.asked.add(member.name)
 
 
 def capacities(
@@ -476,6 +639,7 @@
 
     Raises:
       Conflict: The service already has a table.
+      StoreRestored: The store was restored since the replica was read.
       StoreUnavailable: The store did not answer.
     """
     candidates = planning.eligible_receivers(
@@ -488,12 +652,16 @@
         return
     if not candidates or now_s - since_s < SETTLE_S:
         return
+    replica = planner.fleet.replica
     table = planning.plan_initial_table(
         service,
         candidates,
         capacities(candidates, planner.reports),
         planner.era,
     )
+    if replica.restored or not planner.first_start:
+        # A table may have been lost in a restore, with ranges that nodes hold.
+        table = tables.mark_outdated(table)
     commits.create(planner.store, table)
     planner.log(
         "ranges-dealt",
--- a/packages/assignment/src/waxwinglever_assignment/planning.py
+++ b/packages/assignment/src/waxwinglever_assignment/planning.py
@@ -102,7 +102,7 @@
     service: str,
     members: Sequence[fleet_view.Member],
     capacities: Mapping[str, float],
-    era: int = tables.UNKNOWN_ERA,
+    era: int = 0,
 ) -> tables.OwnershipTable:
     """Returns an initial table with ranges in proportion to capacity.
 
@@ -179,7 +179,8 @@
     """Plans new owners for ranges whose owner or next owner is not eligible.
 
     Ranges of an owner without an entry wait until it is in `expired_owners`.
-    Ranges of members in the state STARTING stay, except in closed zones.
+    Ranges of members in the state STARTING stay, except in closed zones. Ranges
+    whose record is older than the era of the table stay as well.
     """
     present = {member.name for member in plan_input.members}
     starting = {
@@ -191,6 +192,8 @@
     unplaced = []
     for item in plan_input.table.ranges:
         rate = rate_between(draft, item.first, item.last)
+        if not tables.is_current(item, plan_input.table.era):
+            continue
         if item.node not in present:
             if (
                 item.node in plan_input.expired_owners
@@ -257,7 +260,9 @@
             [
                 item
                 for item in table.ranges
-                if item.node == busiest and not item.to_node
+                if item.node == busiest
+                and not item.to_node
+                and tables.is_current(item, table.era)
             ],
             draft,
             (draft.demand[busiest], capacities[busiest]),
--- a/packages/assignment/src/waxwinglever_assignment/promises.py
+++ b/packages/assignment/src/waxwinglever_assignment/promises.py
@@ -17,6 +17,14 @@
 - The list of voters changes at most once in VOTERS_CHANGE_S, which is longer
   than EXTENSION_S. To clear an owner, a majority of the current list and one of
   the previous list are required, as the owner may have either list.
+- A promise is made in the name of the era of the store in which the owner's
+  ranges were recorded. After a restore of the store the planner may not know
+  all owners. It clears all earlier eras: a majority of the voters confirm that
+  they have no promise for an earlier era outstanding, and make none again. The
+  list of voters may have been restored too. A list that was lost names its
+  predecessor, and for PREDECESSOR_S after an owner has seen a new list, it
+  needs a majority of both. So the majorities share a voter if the copy is no
+  older than VOTERS_CHANGE_S.
 - A voter that has just started has no record of its earlier answers. It makes
   no promise until the longest denial has ended, and clears no owner until the
   longest promise has ended. If the store holds no list of voters at its start,
@@ -45,6 +53,10 @@
 PROMISE_DENIAL_S = EXPIRED_S + 2.0
 # Least time between two changes of the list of voters.
 VOTERS_CHANGE_S = EXPIRED_S + 1.0
+# After a change of the list, promises need a majority of the previous list as
+# well: the change may be lost in a restore up to VOTERS_CHANGE_S later, and an
+# owner may be extended for EXPIRED_S from then.
+PREDECESSOR_S = VOTERS_CHANGE_S + EXPIRED_S
 # More voters cost messages and hardly add safety: five of nine would have to
 # fail at the same time, and EXPIRED_S bounds the wait even then.
 MAX_VOTERS = 9
@@ -57,10 +69,12 @@
     Attributes:
       names: Names of the nodes that vote.
       before: Names in the previous list.
+      era: Era of the store in which the list was written.
     """
 
     names: tuple[str, ...]
     before: tuple[str, ...] = ()
+    era: int = 0
 
 
 @attrs.define(eq=False)
@@ -72,6 +86,8 @@
       started_s: When the daemon started.
       promise_end_s: When each promise ends, by owner.
       denial_end_s: When each denial of promises ends, by owner.
+      era_end_s: When the last promise for each era of the store ends.
+      min_era: No promise is made for an earlier era than this.
       lock: Held while promises and denials are read or changed.
     """
 
@@ -79,6 +95,8 @@
     started_s: float = attrs.Factory(lambda self: self.now(), takes_self=True)
     promise_end_s: dict[str, float] = attrs.Factory(dict)
     denial_end_s: dict[str, float] = attrs.Factory(dict)
+    era_end_s: dict[int, float] = attrs.Factory(dict)
+    min_era: int = 0
     lock: threading.Lock = attrs.Factory(threading.Lock)
 
 
@@ -110,12 +128,17 @@
             state.started_s = float("-inf")
 
 
-def promise(state: VoterState, owner: str) -> bool:
+def promise(state: VoterState, owner: str, era: int) -> bool:
     """Promises for PROMISE_S not to clear an owner for takeover.
 
+    Args:
+      state: The state of this voter.
+      owner: Name of the owner.
+      era: Era of the store in which the owner's ranges were recorded.
+
     Returns:
-      Whether the promise was made. It is refused after a denial, and while
-      this voter has started too recently.
+      Whether the promise was made. It is refused after a denial, for an era
+      that was cleared, and while this voter has started too recently.
     """
     with state.lock:
         now_s = state.now()
@@ -123,7 +146,10 @@
             return False
         if now_s < state.denial_end_s.get(owner, float("-inf")):
             return False
+        if era < state.min_era:
+            return False
         state.promise_end_s[owner] = now_s + PROMISE_S
+        state.era_end_s[era] = now_s + PROMISE_S
         return True
 
 
@@ -143,6 +169,29 @@
         return max(0.0, state.promise_end_s.get(owner, now_s) - now_s)
 
 
+def clear_earlier_eras(state: VoterState, era: int) -> float | None:
+    """Denies all owners further promises for the eras before this one.
+
+    Returns:
+      Seconds until the last of these promises ends, 0 when there is none; None
+      when this voter has started so recently that a promise from before its
+      start may be outstanding.
+    """
+    with state.lock:
+        now_s = state.now()
+        state.min_era = max(state.min_era, era)
+        if now_s - state.started_s < PROMISE_S:
+            return None
+        return max(
+            [0.0]
+            + [
+                end_s - now_s
+                for promised, end_s in state.era_end_s.items()
+                if promised < era
+            ]
+        )
+
+
 def is_majority(names: Sequence[str], agreeing: Sequence[str]) -> bool:
     """Returns whether more than half of the names are in `agreeing`.
 
@@ -152,13 +201,16 @@
 
 
 def next_voters(
-    record: VoterList | None, present: Sequence[tuple[str, str]]
+    record: VoterList | None,
+    present: Sequence[tuple[str, str]],
+    era: int = 0,
 ) -> VoterList | None:
     """Returns the next list of voters, or None to keep the current one.
 
     Args:
       record: The current list of voters, or None.
       present: Name and zone of each node with an entry.
+      era: Era of the store.
     """
     zones: dict[str, list[str]] = {}
     for name, zone in sorted(present):
@@ -175,4 +227,4 @@
     names = tuple(sorted(chosen))
     if not names or (record is not None and names == record.names):
         return None
-    return VoterList(names, record.names if record is not None else ())
+    return VoterList(names, record.names if record is not None else (), era)
--- a/packages/assignment/src/waxwinglever_assignment/sessions.py
+++ b/packages/assignment/src/waxwinglever_assignment/sessions.py
@@ -8,7 +8,7 @@
 """
 
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Mapping
 
 import attrs
 
@@ -46,14 +46,20 @@
       entry: Returns the entry as last seen by a direct watch of the store, or
         None if that was before a restore of the store.
       log: Called with an event name and fields.
-      request_promises: Asks the voters; returns whether a majority promised.
+      request_promises: Asks the voters for promises in the name of an era of
+        the store; returns whether a majority promised.
+      outdated_eras: Returns the earlier eras of the store in which ranges that
+        this node still holds were recorded.
       now: Returns the time in seconds.
-      promised_s: When the last request that a majority promised was started.
+      promised_s: When the last request that a majority promised was started, by
+        the era it was made for. Replaced at each change, as is `confirmations`.
       lease: The lease of the entry; its id is NO_LEASE if there is none.
       published: Content of the entry that this session wrote last, if any.
       min_record_version: Store version of the first entry of this session.
         Older ownership records are ignored.
       confirmed_s: When the last successful confirmation was started.
+      confirmations: When the last successful confirmation in each era of the
+        store was started.
       must_read_entry: Whether the entry must be read from the store, because a
         call has failed since it was last read.
       confirmed_directly: Whether the last confirmation came from the store
@@ -67,13 +73,15 @@
     member: fleet_view.Member
     entry: Callable[[], leased.Item | None]
     log: Callable[..., None]
-    request_promises: Callable[[], bool] = lambda: False
+    request_promises: Callable[[int], bool] = lambda era: False
+    outdated_eras: Callable[[], Collection[int]] = tuple
     now: Callable[[], float] = clock.boottime_s
-    promised_s: float = float("-inf")
+    promised_s: dict[int, float] = attrs.Factory(dict)
     lease: leased.Lease = leased.Lease(leased.NO_LEASE)
     published: fleet_view.Member | None = None
     min_record_version: int = 0
     confirmed_s: float = float("-inf")
+    confirmations: dict[int, float] = attrs.Factory(dict)
     must_read_entry: bool = False
     confirmed_directly: bool = False
     confirmation_failed: bool = False
@@ -82,26 +90,72 @@
 
 
 def valid_until_s(session: Session) -> float:
-    """Returns the time until which the node may hold ranges."""
+    """Returns the time until which the node may hold ranges.
+
+    See outdated_valid_until_s for ranges that were recorded in an earlier era
+    of the store.
+    """
+    return extended_until_s(
+        session.confirmed_s,
+        max(session.promised_s.values(), default=float("-inf")),
+    )
+
+
+def outdated_valid_until_s(session: Session, era: int) -> float:
+    """Returns the time until which ranges of an earlier era may be held.
+
+    Their record may have been lost in a restore of the store, so confirmations
+    by the restored store don't count for them.
+    """
+    return extended_until_s(
+        last_until(session.confirmations, era),
+        last_until(session.promised_s, era),
+    )
+
+
+def last_until(times_s: Mapping[int, float], era: int) -> float:
+    """Returns the latest of the times of all eras up to one."""
+    return max(
+        (time_s for time_era, time_s in times_s.items() if time_era <= era),
+        default=float("-inf"),
+    )
+
+
+def extended_until_s(confirmed_s: float, promised_s: float) -> float:
+    """Returns when a confirmation ends that a promise extends."""
     return max(
-        session.confirmed_s + CONFIRMATION_VALID_S,
+        confirmed_s + CONFIRMATION_VALID_S,
         min(
-            session.promised_s + promises.PROMISE_S,
-            session.confirmed_s + promises.EXTENSION_S,
+            promised_s + promises.PROMISE_S,
+            confirmed_s + promises.EXTENSION_S,
         ),
     )
 
 
-def request_extension(session: Session) -> None:
-    """Asks the voters for promises when the store can't confirm the session.
+def request_extensions(session: Session, is_confirmed: bool) -> None:
+    """Asks the voters for promises for ranges that the store can't confirm.
+
+    The promises are asked for in the name of the earliest era that promises can
+    still extend and that the voters have not cleared; they hold for later eras
+    as well.
 
-    Does nothing when promises can't extend the last confirmation any further.
+    Args:
+      session: The session.
+      is_confirmed: Whether the store has confirmed the session just now, so
+        that only ranges of earlier eras need promises.
     """
-    began_s = session.now()
-    if began_s - session.confirmed_s >= promises.EXTENSION_S:
-        return
-    if session.request_promises():
-        session.promised_s = began_s
+    unconfirmed = set(session.outdated_eras())
+    if not is_confirmed and session.confirmations:
+        unconfirmed.add(max(session.confirmations))
+    for era in sorted(unconfirmed):
+        began_s = session.now()
+        confirmed_s = last_until(session.confirmations, era)
+        if (
+            began_s - confirmed_s < promises.EXTENSION_S
+            and session.request_promises(era)
+        ):
+            session.promised_s = session.promised_s | {era: began_s}
+            return
 
 
 def update_member(session: Session, **fields: object) -> None:
@@ -120,6 +174,7 @@
         pause_s = RENEW_S
         try:
             confirm(session)
+            request_extensions(session, is_confirmed=True)
             if session.confirmation_failed:
                 session.confirmation_failed = False
                 session.log(
@@ -158,7 +213,7 @@
                     valid_s=round(valid_until_s(session) - session.now(), 3),
                     error=error.message,
                 )
-            request_extension(session)
+            request_extensions(session, is_confirmed=False)
         session.wake.wait(max(0.0, began_s + pause_s - session.now()))
 
 
@@ -186,6 +241,7 @@
         check_entry(session)
     session.confirmed_directly = session.store.is_direct()
     session.confirmed_s = began_s
+    session.confirmations = session.confirmations | {session.lease.era: began_s}
 
 
 def check_entry(session: Session) -> None:
@@ -248,9 +304,14 @@
 
 def reset_lease(session: Session) -> None:
     """Resets the session, so that the next confirmation opens a new lease."""
+    session.confirmations = {
+        era: confirmed_s
+        for era, confirmed_s in session.confirmations.items()
+        if era != session.lease.era
+    }
     forget_lease(session)
     session.confirmed_s = float("-inf")
-    session.promised_s = float("-inf")
+    session.promised_s = {}
 
 
 def forget_lease(session: Session) -> None:
--- a/packages/assignment/src/waxwinglever_assignment/tables.py
+++ b/packages/assignment/src/waxwinglever_assignment/tables.py
@@ -25,8 +25,11 @@
 PARTS = 8
 PART_SHARDS = (LAST_SHARD + 1) // PARTS
 NO_VERSIONS = (0,) * PARTS
-# The era of a table that was not read from a store.
-UNKNOWN_ERA = 0
+# The era of records that were written before eras were recorded.
+UNKNOWN_ERA = -1
+# Each era of the store has fences of its own, above those of earlier eras,
+# because a restored table may have forgotten fences that were used.
+FENCES_PER_ERA = 2**24
 
 
 @attrs.frozen
@@ -43,6 +46,8 @@
       handover: Token from the previous owner's backend server that lets the
         present one start warm; empty when there is none.
       to_node: Node that the owner should hand the range to, or NO_OWNER.
+      era: Era of the store in which this ownership was written. After a restore
+        of the store, the record of an earlier era may be out of date.
     """
 
     first: int
@@ -52,6 +57,7 @@
     fence: int
     handover: str = ""
     to_node: str = NO_OWNER
+    era: int = UNKNOWN_ERA
 
 
 @attrs.frozen
@@ -73,7 +79,7 @@
     ranges: tuple[Range, ...]
     next_fences: tuple[int, ...]
     versions: tuple[int, ...] = attrs.field(default=NO_VERSIONS, eq=False)
-    era: int = attrs.field(default=UNKNOWN_ERA, eq=False)
+    era: int = attrs.field(default=0, eq=False)
 
     def __attrs_post_init__(self):
         expected = FIRST_SHARD
@@ -147,7 +153,7 @@
     service: str,
     parts: Sequence[Part],
     versions: Sequence[int],
-    era: int = UNKNOWN_ERA,
+    era: int = 0,
 ) -> OwnershipTable:
     """Returns the table that consists of all parts.
 
@@ -193,6 +199,15 @@
     return tuple(item for item in table.ranges if item.node == node)
 
 
+def overlapping_ranges(table: OwnershipTable, item: Range) -> tuple[Range, ...]:
+    """Returns the ranges that contain shards of another range."""
+    return tuple(
+        other
+        for other in table.ranges
+        if other.first <= item.last and item.first <= other.last
+    )
+
+
 def update_ranges(
     table: OwnershipTable, changes: Mapping[int, Mapping[str, object]]
 ) -> OwnershipTable:
@@ -208,18 +223,25 @@
     for item in table.ranges:
         fields = dict(changes.get(item.fence, ()))
         if "node" in fields or "instance" in fields:
-            fields["fence"] = allocate_fence(next_fences, item)
+            fields["fence"] = allocate_fence(next_fences, item.first, table.era)
+            fields["era"] = table.era
         ranges.append(attrs.evolve(item, **fields) if fields else item)
     return attrs.evolve(
         table, ranges=tuple(ranges), next_fences=tuple(next_fences)
     )
 
 
-def allocate_fence(next_fences: list[int], item: Range) -> int:
-    """Returns an unused fence for a range and advances `next_fences`."""
-    part = part_of(item.first)
-    fence = next_fences[part]
-    next_fences[part] += PARTS
+def allocate_fence(next_fences: list[int], first: int, era: int) -> int:
+    """Returns an unused fence for the range that starts at a shard.
+
+    Args:
+      next_fences: Lowest unused fence of each part; advanced by the call.
+      first: First shard of the range.
+      era: Era of the store in which the fence is allocated.
+    """
+    part = part_of(first)
+    fence = max(next_fences[part], max(0, era) * FENCES_PER_ERA + part)
+    next_fences[part] = fence + PARTS
     return fence
 
 
@@ -247,7 +269,7 @@
         for index, (first, last) in enumerate(zip(starts, ends)):
             piece_fence = item.fence
             if index:
-                piece_fence = allocate_fence(next_fences, item)
+                piece_fence = allocate_fence(next_fences, item.first, table.era)
             ranges.append(
                 attrs.evolve(item, first=first, last=last, fence=piece_fence)
             )
@@ -259,7 +281,7 @@
 def initial_table(
     service: str,
     shares: Sequence[tuple[str, str, int]],
-    era: int = UNKNOWN_ERA,
+    era: int = 0,
 ) -> OwnershipTable:
     """Returns the initial table of a service.
 
@@ -277,8 +299,91 @@
         while first < end:
             part_end = (part_of(first) + 1) * PART_SHARDS
             last = min(end, part_end) - 1
-            item = Range(first, last, node, instance, 0)
-            fence = allocate_fence(next_fences, item)
+            item = Range(
+                first,
+                last,
+                node,
+                instance,
+                0,
+                era=era,
+            )
+            fence = allocate_fence(next_fences, first, era)
             ranges.append(attrs.evolve(item, fence=fence))
             first = last + 1
     return OwnershipTable(service, tuple(ranges), tuple(next_fences), era=era)
+
+
+def mark_outdated(table: OwnershipTable) -> OwnershipTable:
+    """Returns the table with ranges of the era before its own.
+
+    They stay up to date in era 0, in which the store was never restored.
+    """
+    return attrs.evolve(
+        table,
+        ranges=tuple(
+            attrs.evolve(item, era=table.era - 1) for item in table.ranges
+        ),
+    )
+
+
+def is_current(item: Range, era: int) -> bool:
+    """Returns whether the record of a range is up to date in an era.
+
+    After a restore of the store, the record of an earlier era may name a node
+    that has handed the range over since.
+    """
+    return item.era in (UNKNOWN_ERA, era)
+
+
+def confirm_held(
+    table: OwnershipTable, node: str, held: Sequence[Range]
+) -> OwnershipTable:
+    """Returns the table with ranges that a node holds since an earlier era.
+
+    The node keeps the fences. A held range is left out if the table already has
+    an up-to-date record of one of its shards.
+    """
+    for item in held:
+        table = insert_held(
+            table,
+            attrs.evolve(
+                item,
+                node=node,
+                handover="",
+                to_node=NO_OWNER,
+                era=table.era,
+            ),
+        )
+    return table
+
+
+def insert_held(table: OwnershipTable, held: Range) -> OwnershipTable:
+    """Returns the table with one held range in place of outdated records.
+
+    What remains of the outdated ranges gets new fences, as a fence identifies
+    one range.
+    """
+    part = part_of(held.first)
+    next_fences = list(table.next_fences)
+    next_fences[part] = max(next_fences[part], held.fence + PARTS)
+    ranges = [held]
+    for item in table.ranges:
+        if item.last < held.first or item.first > held.last:
+            ranges.append(item)
+            continue
+        if is_current(item, table.era):
+            return table
+        for first, last in (
+            (item.first, held.first - 1),
+            (held.last + 1, item.last),
+        ):
+            if first <= last:
+                fence = allocate_fence(next_fences, first, table.era)
+                ranges.append(
+                    attrs.evolve(item, first=first, last=last, fence=fence)
+                )
+    return attrs.evolve(
+        table,
+        ranges=tuple(sorted(ranges, key=lambda item: item.first)),
+        next_fences=tuple(next_fences),
+    )
--- a/packages/assignment/tests/test_exploration.py
+++ b/packages/assignment/tests/test_exploration.py
@@ -10,10 +10,14 @@
 from waxwinglever_assignment import planner
 from waxwinglever_assignment import promises
 from waxwinglever_assignment import sessions
+from waxwinglever_assignment import tables
 from waxwinglever_standins import fleet_simulation
 from waxwinglever_standins import memory_leased_store
 
 SEEDS = range(1, 13)
+# Seeds with restores of the store beside the other faults.
+RESTORE_SEEDS = range(1, 25)
+RESTORE_SHARE = 0.2
 NODES = 5
 FAULT_STEPS = 500
 # Ranges are held again within this time, even if the majority of the voters
@@ -33,7 +37,7 @@
 def toggle_random_fault(
     simulation: fleet_simulation.Simulation, rng: random.Random
 ) -> None:
-    """Starts or ends one random fault."""
+    """Starts or ends one random fault other than a restore of the store."""
     node = simulation.nodes[rng.choice(sorted(simulation.nodes))]
     kind = rng.randrange(10)
     if kind == 0:
@@ -76,15 +80,26 @@
             fleet_simulation.start_daemon(simulation, node)
 
 
-def simulate(seed: int) -> fleet_simulation.Simulation:
-    """Simulates faults and recovery with one seed; returns the final state."""
+def simulate(
+    seed: int, restore_share: float = 0.0
+) -> fleet_simulation.Simulation:
+    """Simulates faults and recovery with one seed; returns the final state.
+
+    Args:
+      seed: Seed of all randomness.
+      restore_share: Share of the faults that are restores of the store.
+    """
     rng = random.Random(seed)
     simulation = fleet_simulation.new_simulation(seed, NODES)
     for _ in range(60):
         fleet_simulation.step(simulation)
     for _ in range(FAULT_STEPS):
         if rng.random() < 0.03:
-            toggle_random_fault(simulation, rng)
+            if restore_share and rng.random() < restore_share:
+                age_s = rng.uniform(0.0, fleet_simulation.COPIES_KEPT_S)
+                fleet_simulation.restore_store(simulation, age_s)
+            else:
+                toggle_random_fault(simulation, rng)
         fleet_simulation.step(simulation)
     end_faults(simulation)
     end_s = simulation.now_s + RECOVERY_S
@@ -118,6 +133,26 @@
             self.assertEqual([], simulation.overlaps, seed)
             self.assertLess(longest_gap_s(simulation), MAX_GAP_S, seed)
 
+    def test_restored_store_leads_to_no_second_holder(self):
+        for seed in RESTORE_SEEDS:
+            simulation = simulate(seed, RESTORE_SHARE)
+            self.assertEqual([], simulation.overlaps, seed)
+            self.assertEqual([], simulation.low_fences, seed)
+            self.assertLess(longest_gap_s(simulation), MAX_GAP_S, seed)
+
+    def test_owners_keep_ranges_through_a_restore(self):
+        # The copy is from before the latest moves.
+        simulation = fleet_simulation.new_simulation(4, NODES)
+        for _ in range(160):
+            fleet_simulation.step(simulation)
+        simulation.store.down = True
+        fleet_simulation.run_for(simulation, 2.0)
+        simulation.store.down = False
+        fleet_simulation.restore_store(simulation, 9.0)
+        held = fleet_simulation.run_for(simulation, 4.0)
+        self.assertEqual(loads.BUCKETS, len(held))
+        self.assertEqual([], simulation.overlaps)
+
     def test_planted_faults_are_found(self):
         # The simulation must find overlaps when one of these rules is disabled.
         planted = (
@@ -129,6 +164,27 @@
                 found = any(simulate(seed).overlaps for seed in PLANTED_SEEDS)
             self.assertTrue(found, name)
 
+    def test_planted_faults_after_a_restore_are_found(self):
+        def valid_until_s(session, _):
+            return sessions.valid_until_s(session)
+
+        planted = (
+            (tables, "is_current", lambda *_: True),
+            (tables, "FENCES_PER_ERA", 0),
+            (planner, "obtain_era_clearance", lambda _: True),
+            (promises, "clear_earlier_eras", lambda *_: 0.0),
+            (sessions, "outdated_valid_until_s", valid_until_s),
+        )
+        for module, name, value in planted:
+            with mock.patch.object(module, name, value):
+                found = any(
+                    simulation.overlaps or simulation.low_fences
+                    for simulation in (
+                        simulate(seed, RESTORE_SHARE) for seed in RESTORE_SEEDS
+                    )
+                )
+            self.assertTrue(found, name)
+
     def test_all_shards_are_held_without_faults(self):
         simulation = fleet_simulation.new_simulation(1, NODES)
         for _ in range(60):
--- a/packages/assignment/tests/test_grants.py
+++ b/packages/assignment/tests/test_grants.py
@@ -10,6 +10,7 @@
 from waxwinglever_assignment import commits
 from waxwinglever_assignment import fleet_view
 from waxwinglever_assignment import grants
+from waxwinglever_assignment import promises
 from waxwinglever_assignment import replicas
 from waxwinglever_assignment import sessions
 from waxwinglever_assignment import tables
@@ -19,7 +20,7 @@
 # Runs the calls in the calling thread.
 INLINE_EXECUTOR = types.SimpleNamespace(map=map)
 # Fence of the first range of an initial table.
-FIRST_FENCE = tables.PARTS
+FIRST_FENCE = tables.FENCES_PER_ERA
 
 
 @attrs.define(eq=False)
@@ -295,3 +296,85 @@
         self.plan_first_move()
         grants.hand_over_ranges(self.grant_manager)
         self.assertEqual("n1", self.table().ranges[0].node)
+
+    def restore(self, copy):
+        """Restores the store from a copy; the node notices it."""
+        memory_leased_store.restore_store(self.memory_store, copy)
+        self.refresh()
+        sessions.forget_lease(self.node.session)
+        sessions.confirm(self.node.session)
+        self.refresh()
+
+    def move(self, shard, node):
+        """Writes another owner of the range that contains a shard."""
+        fence = tables.range_at(self.table(), shard).fence
+        self.write(
+            tables.update_ranges(
+                self.table(), {fence: {"node": node, "instance": f"{node}@1"}}
+            )
+        )
+        self.refresh()
+
+    def test_range_that_was_handed_over_is_not_granted_after_a_restore(self):
+        # The restored table still names this node.
+        grants.renew_grants(self.grant_manager)
+        copy = memory_leased_store.copy_store(self.memory_store)
+        self.move(100, "n2")
+        grants.renew_grants(self.grant_manager)
+        self.server.granted.clear()
+        self.restore(copy)
+        self.assertEqual("n1", tables.range_at(self.table(), 100).node)
+        self.advance_to_renewal()
+        grants.renew_grants(self.grant_manager)
+        self.assertIsNone(grants.held_fence(self.grant_manager, 100))
+        self.assertNotIn(FIRST_FENCE, [f for f, _ in self.server.granted])
+
+    def test_range_whose_record_was_lost_is_renewed_after_a_restore(self):
+        # The restored table names the node that handed the range over.
+        copy = memory_leased_store.copy_store(self.memory_store)
+        self.move(40_000, "n1")
+        grants.renew_grants(self.grant_manager)
+        fence = grants.held_fence(self.grant_manager, 40_000)
+        self.restore(copy)
+        self.assertEqual("n2", tables.range_at(self.table(), 40_000).node)
+        self.advance_to_renewal()
+        self.server.granted.clear()
+        grants.renew_grants(self.grant_manager)
+        self.assertIn(fence, [granted for granted, _ in self.server.granted])
+        self.assertEqual(fence, grants.held_fence(self.grant_manager, 40_000))
+        held = grants.ranges_held_since_restore(self.grant_manager)
+        self.assertIn(fence, [item.fence for item in held])
+
+    def test_range_without_a_record_is_given_up_before_others_get_it(self):
+        grants.renew_grants(self.grant_manager)
+        self.restore(memory_leased_store.copy_store(self.memory_store))
+        session = self.node.session
+        end_s = session.confirmations[1] + promises.EXTENSION_S
+        while self.clock.now_s < end_s:
+            self.clock.now_s += 0.5
+            sessions.confirm(session)
+            grants.renew_grants(self.grant_manager)
+        self.assertIsNone(grants.held_fence(self.grant_manager, 100))
+        latest_s = max(self.grant_manager.grant_end_s.values(), default=0.0)
+        self.assertLessEqual(latest_s, end_s)
+
+    def test_range_being_released_is_not_granted_again_after_a_restore(self):
+        # Its next owner may have it already; the restored table does not show
+        # the move.
+        grants.renew_grants(self.grant_manager)
+        copy = memory_leased_store.copy_store(self.memory_store)
+        self.plan_first_move()
+        self.memory_store.lose_commit_answers = True
+        self.assertRaises(
+            exceptions.StoreUnavailable,
+            grants.hand_over_ranges,
+            self.grant_manager,
+        )
+        self.memory_store.lose_commit_answers = False
+        self.restore(copy)
+        self.advance_to_renewal()
+        self.server.granted.clear()
+        grants.renew_grants(self.grant_manager)
+        self.assertNotIn(FIRST_FENCE, [f for f, _ in self.server.granted])
+        held = grants.ranges_held_since_restore(self.grant_manager)
+        self.assertNotIn(FIRST_FENCE, [item.fence for item in held])
--- a/packages/assignment/tests/test_sessions.py
+++ b/packages/assignment/tests/test_sessions.py
@@ -119,5 +119,6 @@
         self.clock.now_s += 0.5
         sessions.confirm(self.session)
         self.assertEqual(2, self.session.lease.era)
+        self.assertEqual({1: 100.0, 2: 100.5}, self.session.confirmations)
         item = self.memory_store.items[fleet_view.entry_key("n1")]
         self.assertEqual(self.session.lease.id, item.lease)
--- a/packages/assignment/tests/test_tables.py
+++ b/packages/assignment/tests/test_tables.py
@@ -95,3 +95,65 @@
                 tables.range_at(TABLE, shard).node,
                 tables.range_at(table, shard).node,
             )
+
+    def test_fences_of_a_later_era_are_above_all_earlier_ones(self):
+        # The restored table has forgotten the fences of the last seconds.
+        lost = TABLE
+        for _ in range(100):
+            fence = tables.range_at(lost, 0).fence
+            lost = tables.update_ranges(lost, {fence: {"node": "b"}})
+        restored = attrs.evolve(TABLE, era=1)
+        fence = tables.range_at(restored, 0).fence
+        restored = tables.update_ranges(restored, {fence: {"node": "c"}})
+        self.assertGreater(
+            tables.range_at(restored, 0).fence, tables.range_at(lost, 0).fence
+        )
+
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.integers(0, tables.PARTS - 1),
+                strategies.integers(0, tables.PART_SHARDS - 1),
+                strategies.integers(0, tables.PART_SHARDS - 1),
+                strategies.integers(1, 1_000),
+            ),
+            max_size=6,
+        )
+    )
+    def test_held_ranges_replace_outdated_records_only(self, pieces):
+        restored = attrs.evolve(
+            TABLE,
+            era=3,
+            ranges=tuple(attrs.evolve(r, era=2) for r in TABLE.ranges),
+        )
+        held = []
+        for number, (part, one, other, fence) in enumerate(pieces):
+            start = part * tables.PART_SHARDS
+            held.append(
+                tables.Range(
+                    start + min(one, other),
+                    start + max(one, other),
+                    "c",
+                    "c@1",
+                    (number + 1) * 8_000 + fence * tables.PARTS + part,
+                    era=2,
+                )
+            )
+        table = tables.confirm_held(restored, "c", held)
+        fences = [item.fence for item in table.ranges]
+        self.assertEqual(len(fences), len(set(fences)))
+        confirmed: set[int] = set()
+        for item in held:
+            shards = set(range(item.first, item.last + 1))
+            if shards & confirmed:
+                continue
+            confirmed |= shards
+            for shard in (item.first, item.last):
+                found = tables.range_at(table, shard)
+                self.assertEqual(
+                    ("c", item.fence, 3), (found.node, found.fence, found.era)
+                )
+        for item in table.ranges:
+            if item.first not in confirmed:
+                before = tables.range_at(restored, item.first)
+                self.assertEqual((before.node, 2), (item.node, item.era))
--- a/packages/hops/src/waxwinglever_hops/control.py
+++ b/packages/hops/src/waxwinglever_hops/control.py
@@ -15,6 +15,7 @@
 
 from waxwinglever_admission import gate as gates
 from waxwinglever_assignment import fleet_view
+from waxwinglever_assignment import grants
 from waxwinglever_assignment import loads
 from waxwinglever_assignment import promises
 from waxwinglever_assignment import readers
@@ -29,8 +30,10 @@
 
 PATH = "/_waxwinglever/control/"
 LOAD_PATH = PATH + "load"
-PROMISE_PATH = PATH + "promise/"
+# Earlier versions take promises for no era, under another path.
+PROMISE_PATH = PATH + "promises/"
 CLEARANCE_PATH = PATH + "word/"
+ERA_CLEARANCE_PATH = PATH + "eras/"
 CHANGES_PATH = PATH + "changes/"
 # Statuses that refuse a call for store changes: the history of this node does
 # not go back to the requested version, or its copy may be out of date.
@@ -71,9 +74,15 @@
 def handle(control: ControlEndpoint, target: str) -> server.HttpResponse:
     """Handles one control call of another daemon."""
     if target.startswith(PROMISE_PATH):
-        owner = target.removeprefix(PROMISE_PATH)
-        promised = promises.promise(control.promises, owner)
+        era, _, owner = target.removeprefix(PROMISE_PATH).partition("/")
+        if not era.isdigit():
+            return server.HttpResponse(404, (), b"")
+        promised = promises.promise(control.promises, owner, int(era))
         return server.HttpResponse(200, (), json.dumps(promised).encode())
+    if target.startswith(ERA_CLEARANCE_PATH):
+        return handle_era_clearance(
+            control, target.removeprefix(ERA_CLEARANCE_PATH)
+        )
     if target.startswith(CLEARANCE_PATH):
         owner = target.removeprefix(CLEARANCE_PATH)
         left_s = promises.clear_takeover(control.promises, owner)
@@ -85,11 +94,30 @@
         service_s = gates.snapshot(
             control.local_delivery.backend.gate
         ).service_s
-        report = loads.make_report(control.local_delivery.load_meter, service_s)
+        grant_manager = control.local_delivery.grant_manager
+        # The era first: ranges must be held in the era that the report names.
+        era = grant_manager.store.era()
+        report = loads.make_report(
+            control.local_delivery.load_meter,
+            service_s,
+            era,
+            grants.ranges_held_since_restore(grant_manager),
+        )
         return server.HttpResponse(200, (), msgspec.json.encode(report))
     return server.HttpResponse(404, (), b"")
 
 
+def handle_era_clearance(
+    control: ControlEndpoint, era: str
+) -> server.HttpResponse:
+    """Clears all eras before one and returns when the last promise ends."""
+    if not era.isdigit():
+        return server.HttpResponse(404, (), b"")
+    left_s = promises.clear_earlier_eras(control.promises, int(era))
+    control.log("era-clearance", era=int(era), promised_s=left_s)
+    return server.HttpResponse(200, (), json.dumps(left_s).encode())
+
+
 def handle_changes(control: ControlEndpoint, query: str) -> server.HttpResponse:
     """Returns a response with the store changes after a version.
 
@@ -260,17 +288,47 @@
 
     def request_clearance(voter: str, owner: str) -> float | None:
         address = last_known_address(fleet, voter)
-        return json.loads(control_call(client, address, CLEARANCE_PATH + owner))
+        body = control_call(client, address, CLEARANCE_PATH + owner)
+        return decode_answer(body, voter)
 
     return request_clearance
 
 
+def era_clearance_client(
+    client: http_client.Client, fleet: fleet_view.FleetView
+) -> Callable[[str, int], float | None]:
+    """Returns a function that requests a clearance of earlier eras.
+
+    The function takes the name of the voter and the era before which the voter
+    makes no more promises. It returns and raises the same as that of
+    clearance_client.
+    """
+
+    def request_era_clearance(voter: str, era: int) -> float | None:
+        address = last_known_address(fleet, voter)
+        body = control_call(client, address, f"{ERA_CLEARANCE_PATH}{era}")
+        return decode_answer(body, voter)
+
+    return request_era_clearance
+
+
+def decode_answer(body: bytes, name: str):
+    """Returns the JSON value in a response; raises PeerUnavailable."""
+    try:
+        return json.loads(body)
+    except ValueError as error:
+        raise exceptions.PeerUnavailable(
+            f"{name} gave no valid answer: {error}",
+            "run the same version of all daemons",
+        ) from error
+
+
 def promise_client(
     client: http_client.Client,
     fleet: fleet_view.FleetView,
     name: str,
     executor: futures.ThreadPoolExecutor,
-) -> Callable[[], bool]:
+) -> Callable[[int], bool]:
     """Returns a function that asks all voters for promises to this node.
 
     Args:
@@ -280,32 +338,35 @@
       executor: Runs the calls to the voters in parallel.
 
     Returns:
-      A function that returns whether a majority of the voters promised; False
-      if the list of voters is unknown.
+      A function that takes the era of the store for which promises are needed
+      and returns whether majorities of the voters, and of those before a recent
+      change, promised; False if the list of voters is unknown.
     """
 
-    def request_promise(voter: str) -> str | None:
+    def request_promise(voter: str, era: int) -> str | None:
         try:
             address = last_known_address(fleet, voter)
-            promised = json.loads(
-                control_call(client, address, PROMISE_PATH + name)
-            )
+            body = control_call(client, address, f"{PROMISE_PATH}{era}/{name}")
+            promised = decode_answer(body, voter)
         except exceptions.PeerUnavailable:
             # An unreachable voter makes no promise, but is still one of the
             # voters of whom a majority is needed.
             return None
         return voter if promised else None
 
-    def request_promises() -> bool:
-        record = fleet_view.voter_list(fleet)
+    def request_promises(era: int) -> bool:
+        record = fleet_view.recent_voter_list(fleet)
         if record is None:
             return False
+        voters = sorted({*record.names, *record.before})
         agreeing = [
             v
-            for v in executor.map(request_promise, record.names)
+            for v in executor.map(lambda v: request_promise(v, era), voters)
             if v is not None
         ]
-        return promises.is_majority(record.names, agreeing)
+        return promises.is_majority(
+            record.names, agreeing
+        ) and promises.is_majority(record.before, agreeing)
 
     return request_promises
 
--- a/packages/standins/src/waxwinglever_standins/fleet_simulation.py
+++ b/packages/standins/src/waxwinglever_standins/fleet_simulation.py
@@ -5,6 +5,7 @@
 server still holds. The clocks of the backend servers run 2% slow.
 """
 
+import collections
 import random
 import types
 
@@ -24,6 +25,7 @@
 from waxwinglever_store import leased
 
 SERVICE = "dispatch"
+START_S = 1_000.0
 CLOCK_SLOWDOWN = 1.02
 STEP_RANGE_S = (0.02, 0.2)
 # Longest time by which the replica of a node that follows a reader can lag.
@@ -31,6 +33,8 @@
 REPLICA_LAG_PROBABILITY = 0.1
 # Interval at which a backend server announces itself to its daemon.
 ANNOUNCE_INTERVAL_S = 1.5
+# Copies of the store are kept this long, to be restored from.
+COPIES_KEPT_S = 12.0
 INLINE_EXECUTOR = types.SimpleNamespace(map=map)
 
 
@@ -111,18 +115,28 @@
       lost_commit_share: Share of the commits whose response is lost.
       late_grant_share: Share of the grants that are applied late.
       overlaps: Descriptions of grants of shards that another server held.
+      low_fences: Descriptions of grants whose fence is not above all fences
+        under which other servers held the shards.
+      highest_fences: Highest fence under which a bucket was granted, and the
+        name of the server.
+      copies: Time and content of earlier copies of the store.
       delayed_commits: Commits that the store applies later: the time and the
         arguments of the call.
       events: Log lines of the daemons, without the most frequent events.
     """
 
     rng: random.Random
-    now_s: float = 1_000.0
+    now_s: float = START_S
     store: memory_leased_store.MemoryLeasedStore | None = None
     nodes: dict[str, Node] = attrs.field(factory=dict)
     lost_commit_share: float = 0.0
     late_grant_share: float = 0.0
     overlaps: list[str] = attrs.Factory(list)
+    low_fences: list[str] = attrs.Factory(list)
+    highest_fences: dict[int, tuple[int, str]] = attrs.Factory(dict)
+    copies: collections.deque[tuple[float, memory_leased_store.Copy]] = (
+        attrs.Factory(collections.deque)
+    )
     delayed_commits: list[tuple[float, tuple]] = attrs.Factory(list)
     events: list[str] = attrs.Factory(list)
 
@@ -186,7 +200,8 @@
         member,
         lambda: replicas.current_item(node.entry, key),
         log,
-        lambda: request_promises(simulation, node),
+        lambda era: request_promises(simulation, node, era),
+        lambda: grants.outdated_eras(node.grant_manager),
         now=now,
     )
     node.grant_manager = grants.GrantManager(
@@ -207,12 +222,11 @@
         lambda: (SERVICE,),
         frozenset,
         lambda: True,
-        lambda member: loads.LoadReport(
-            {bucket: simulation.rng.random() * 4 for bucket in range(0, 40)},
-            0.15,
-        ),
+        lambda member: make_report(simulation, simulation.nodes[member.name]),
         lambda voter, owner: request_clearance(simulation, node, voter, owner),
+        lambda voter, era: request_era_clearance(simulation, node, voter, era),
         log,
+        first_start=simulation.now_s == START_S,
         now=now,
         voter_executor=INLINE_EXECUTOR,
     )
@@ -223,22 +237,25 @@
     return f"{node.name}@{node.server.boot_number}"
 
 
-def request_promises(simulation: Simulation, node: Node) -> bool:
+def request_promises(simulation: Simulation, node: Node, era: int) -> bool:
     """Asks the voters for promises, as the platform's adapter does.
 
     Returns:
-      Whether a majority of the voters made the promise.
+      Whether majorities of the voters, and of those before a recent change,
+      made the promise.
     """
-    record = fleet_view.voter_list(node.fleet)
+    record = fleet_view.recent_voter_list(node.fleet)
     if record is None:
         return False
     agreeing = [
         name
-        for name in record.names
+        for name in {*record.names, *record.before}
         if can_reach(simulation, node, name)
-        and promises.promise(simulation.nodes[name].voter, node.name)
+        and promises.promise(simulation.nodes[name].voter, node.name, era)
     ]
-    return promises.is_majority(record.names, agreeing)
+    return promises.is_majority(
+        record.names, agreeing
+    ) and promises.is_majority(record.before, agreeing)
 
 
 def request_clearance(
@@ -260,6 +277,24 @@
     return promises.clear_takeover(simulation.nodes[voter].voter, owner)
 
 
+def request_era_clearance(
+    simulation: Simulation, node: Node, voter: str, era: int
+) -> float | None:
+    """Requests that a voter makes no more promises for earlier eras.
+
+    Returns:
+      The same as request_clearance.
+
+    Raises:
+      PeerUnavailable: The voter can't be reached.
+    """
+    if not can_reach(simulation, node, voter):
+        raise exceptions.PeerUnavailable(
+            f"node {voter} can't be reached", "none"
+        )
+    return promises.clear_earlier_eras(simulation.nodes[voter].voter, era)
+
+
 def can_reach(simulation: Simulation, node: Node, name: str) -> bool:
     """Returns whether a node can call another one.
 
@@ -374,6 +409,7 @@
                     f" beside {node.name} fence {other.fence}"
                     f" until {other.expires_s:.2f}"
                 )
+    record_fences(simulation, server, granted_range)
     server.granted_ranges = [
         other
         for other in server.granted_ranges
@@ -383,9 +419,56 @@
     ] + [granted_range]
 
 
+def record_fences(
+    simulation: Simulation,
+    server: Server,
+    granted_range: granted_ranges_module.GrantedRange,
+) -> None:
+    """Records a grant whose fence another server has reached for its shards."""
+    for bucket in range(
+        loads.bucket_of(granted_range.first),
+        loads.bucket_of(granted_range.last) + 1,
+    ):
+        fence, holder = simulation.highest_fences.get(bucket, (-1, ""))
+        if holder != server.name and fence >= granted_range.fence:
+            simulation.low_fences.append(
+                f"{simulation.now_s:.2f}: {server.name}"
+                f" fence {granted_range.fence} after {holder} fence {fence}"
+            )
+        elif granted_range.fence > fence:
+            simulation.highest_fences[bucket] = (
+                granted_range.fence,
+                server.name,
+            )
+
+
+def restore_store(simulation: Simulation, age_s: float) -> None:
+    """Restores the store from the newest copy that has at least an age."""
+    before_s = simulation.now_s - age_s
+    candidates = [c for taken_s, c in simulation.copies if taken_s <= before_s]
+    if candidates:
+        memory_leased_store.restore_store(simulation.store, candidates[-1])
+
+
+def run_for(simulation: Simulation, duration_s: float) -> set[int]:
+    """Runs the simulation; returns the buckets held in its last second."""
+    held: set[int] = set()
+    end_s = simulation.now_s + duration_s
+    while simulation.now_s < end_s:
+        step(simulation)
+        if simulation.now_s >= end_s - 1.0:
+            held |= held_buckets(simulation)
+    return held
+
+
 def step(simulation: Simulation) -> None:
     """Advances the clock, applies due events and runs each daemon once."""
     simulation.now_s += simulation.rng.uniform(*STEP_RANGE_S)
+    simulation.copies.append(
+        (simulation.now_s, memory_leased_store.copy_store(simulation.store))
+    )
+    while simulation.copies[0][0] < simulation.now_s - COPIES_KEPT_S:
+        simulation.copies.popleft()
     memory_store = memory_leased_store.connect(simulation.store)
     for due in [
         commit
@@ -429,11 +512,14 @@
     if simulation.rng.random() < 0.5:
         try:
             sessions.confirm(session)
+            sessions.request_extensions(session, is_confirmed=True)
         except leased.LeaseExpired:
             sessions.reset_lease(session)
+        except leased.StoreRestored:
+            sessions.forget_lease(session)
         except exceptions.WaxwingleverError:
             session.must_read_entry = True
-            sessions.request_extension(session)
+            sessions.request_extensions(session, is_confirmed=False)
     attempt(lambda: refresh(node.entry))
     if simulation.now_s >= node.replica_lags_until_s or node.planner.is_planner:
         attempt(lambda: refresh(replica))
@@ -443,27 +529,47 @@
     attempt(lambda: grants.renew_grants(node.grant_manager))
     attempt(lambda: grants.hand_over_ranges(node.grant_manager))
     if simulation.rng.random() < 0.5:
-        node.planner.reports = {
-            name: node.planner.fetch_load_report(None)
-            for name in simulation.nodes
-        }
+        node.planner.reports = fetch_reports(simulation, node)
+        node.planner.asked = set(simulation.nodes)
         attempt(lambda: planners.run_pass(node.planner))
 
 
+def make_report(simulation: Simulation, node: Node) -> loads.LoadReport:
+    """Returns the load report of a node, with random rates."""
+    return loads.LoadReport(
+        {bucket: simulation.rng.random() * 4 for bucket in range(0, 40)},
+        0.15,
+        node.grant_manager.store.era(),
+        grants.ranges_held_since_restore(node.grant_manager),
+    )
+
+
+def fetch_reports(
+    simulation: Simulation, node: Node
+) -> dict[str, loads.LoadReport]:
+    """Returns the load reports of all daemons that a node can reach."""
+    return {
+        name: make_report(simulation, other)
+        for name, other in simulation.nodes.items()
+        if can_reach(simulation, node, name)
+    }
+
+
 def refresh(replica: replicas.Replica) -> None:
     """Updates a replica from the store."""
-    if replica.synced:
+    if not replica.synced:
+        replicas.read_prefix(replica)
+        return
+    try:
         replicas.apply_next_changes(replica)
-    else:
+    except (leased.HistoryCompacted, leased.StoreRestored):
         replicas.read_prefix(replica)
 
 
 def attempt(call) -> None:
-    """Runs a call and ignores its errors, except for HistoryCompacted."""
+    """Runs a call and ignores its errors."""
     try:
         call()
-    except leased.HistoryCompacted:
-        raise
     except exceptions.WaxwingleverError:
         # In a daemon the thread logs the error and retries the call later.
         pass
