Refuse transactions that arrive after a restore of the store

What callers saw: nothing so far; found by reading. A transaction without a response may be run seconds later, if its condition still holds. After a restore the versions in its condition are given out again, so it could meet its condition on a record that it has never seen, and give a range to a node that lost it.

Change: each session marks its era in the store together with its entry, and each transaction requires that no later era is marked. Whatever a node writes in an era comes after its session's marker.

Evidence: test_late_change_of_an_earlier_era_has_no_effect fails without the condition.

--- a/packages/assignment/src/waxwinglever_assignment/commits.py
+++ b/packages/assignment/src/waxwinglever_assignment/commits.py
@@ -2,13 +2,14 @@
 
 from collections.abc import Callable, Collection, Iterable
 
+from waxwinglever_assignment import eras
 from waxwinglever_assignment import fleet_view
 from waxwinglever_assignment import tables
 from waxwinglever_store import leased
 
 # Conditions and writes in one transaction together; the platform's store allows
-# 32.
-MAX_ENTRIES = 32
+# 32, and one of them is the condition on the era.
+MAX_ENTRIES = 31
 # Attempts at a change that conflicts with others. Busy ranges lie close
 # together, so several owners may hand over ranges of one part concurrently.
 MAX_ATTEMPTS = 5
@@ -39,6 +40,7 @@
     keys = {part: fleet_view.part_key(after.service, part) for part in parts}
     expected = {keys[part]: before.versions[part] for part in parts}
     expected.update(dict.fromkeys(absent, leased.ABSENT))
+    expected.update(eras.condition(before.era))
     store.commit(
         expected,
         [
@@ -119,7 +121,10 @@
     """
     keys = [fleet_view.part_key(table.service, p) for p in range(tables.PARTS)]
     store.commit(
-        dict.fromkeys(keys, leased.ABSENT),
+        {
+            **dict.fromkeys(keys, leased.ABSENT),
+            **eras.condition(table.era),
+        },
         [
             leased.Write(key, tables.encode(table, part))
             for part, key in enumerate(keys)
--- a/packages/assignment/src/waxwinglever_assignment/planner.py
+++ b/packages/assignment/src/waxwinglever_assignment/planner.py
@@ -11,6 +11,7 @@
 import attrs
 
 from waxwinglever_assignment import commits
+from waxwinglever_assignment import eras
 from waxwinglever_assignment import fleet_view
 from waxwinglever_assignment import loads
 from waxwinglever_assignment import planning
@@ -194,7 +195,10 @@
         if free and planner.can_be_planner():
             lease = planner.session.lease
             planner.store.commit(
-                {fleet_view.PLANNER: leased.ABSENT},
+                {
+                    fleet_view.PLANNER: leased.ABSENT,
+                    **eras.condition(planner.era),
+                },
                 [
                     leased.Write(
                         fleet_view.PLANNER,
@@ -377,7 +381,7 @@
     if next_list is None:
         return
     planner.store.commit(
-        {fleet_view.VOTERS: version},
+        {fleet_view.VOTERS: version, **eras.condition(planner.era)},
         [leased.Write(fleet_view.VOTERS, promises.encode(next_list))],
         [],
         planner.era,
--- a/packages/assignment/src/waxwinglever_assignment/sessions.py
+++ b/packages/assignment/src/waxwinglever_assignment/sessions.py
@@ -12,6 +12,7 @@
 
 import attrs
 
+from waxwinglever_assignment import eras
 from waxwinglever_assignment import fleet_view
 from waxwinglever_assignment import promises
 from waxwinglever_model import clock
@@ -275,6 +276,8 @@
 def publish(session: Session) -> int:
     """Writes the entry and returns its store version.
 
+    The first entry under a lease marks the era of the lease as well.
+
     Raises:
       LeaseExpired: The published entry no longer exists, or belongs to another
         lease.
@@ -292,11 +295,20 @@
         raise leased.LeaseExpired(
             "the entry of this node no longer exists", "a new session is opened"
         )
+    era = session.lease.era
+    writes = eras.markers(era) if session.published is None else []
+    # The entry comes last, so that it has the version of the transaction.
+    writes.append(
+        leased.Write(key, fleet_view.encode_member(member), session.lease.id)
+    )
     version = session.store.commit(
-        {key: item.version if item is not None else leased.ABSENT},
-        [leased.Write(key, fleet_view.encode_member(member), session.lease.id)],
+        {
+            key: item.version if item is not None else leased.ABSENT,
+            **eras.condition(era),
+        },
+        writes,
         [],
-        session.lease.era,
+        era,
     )
     session.published = member
     return version
--- a/packages/assignment/tests/test_commits.py
+++ b/packages/assignment/tests/test_commits.py
@@ -4,6 +4,7 @@
 import testtools
 
 from waxwinglever_assignment import commits
+from waxwinglever_assignment import eras
 from waxwinglever_assignment import fleet_view
 from waxwinglever_assignment import replicas
 from waxwinglever_assignment import tables
@@ -135,6 +136,28 @@
         )
         self.assertEqual(commits.MAX_ATTEMPTS, len(calls))
 
+    def test_late_change_of_an_earlier_era_has_no_effect(self):
+        # The version that it expects was given out again after the restore.
+        late_store = memory_leased_store.connect(self.memory_store)
+        copy = memory_leased_store.copy_store(self.memory_store)
+        commits.commit(self.store, self.before, self.moved(0))
+        self.stored()
+        lost = fleet_view.ownership_table(self.fleet, "s")
+        memory_leased_store.restore_store(self.memory_store, copy)
+        key = fleet_view.part_key("s", 0)
+        value = self.memory_store.items[key].value
+        for writes in (eras.markers(2), [leased.Write(key, value)]):
+            self.memory_store.version = lost.versions[0] - 1
+            restored = memory_leased_store.connect(self.memory_store)
+            restored.commit({}, writes, [], 2)
+        item = self.memory_store.items[key]
+        self.assertEqual(lost.versions[0], item.version)
+        late = tables.update_ranges(lost, {lost.ranges[0].fence: {"node": "c"}})
+        self.assertRaises(
+            leased.StoreRestored, commits.commit, late_store, lost, late
+        )
+        self.assertEqual(item, self.memory_store.items[key])
+
     def test_second_initial_table_is_a_conflict(self):
         table = tables.initial_table("s", [("c", "c@1", 2 * HALF)], era=1)
         self.assertRaises(
--- a/packages/assignment/tests/test_sessions.py
+++ b/packages/assignment/tests/test_sessions.py
@@ -5,6 +5,7 @@
 import pytest
 import testtools
 
+from waxwinglever_assignment import eras
 from waxwinglever_assignment import fleet_view
 from waxwinglever_assignment import replicas
 from waxwinglever_assignment import sessions
@@ -122,3 +123,34 @@
         self.assertEqual({1: 100.0, 2: 100.5}, self.session.confirmations)
         item = self.memory_store.items[fleet_view.entry_key("n1")]
         self.assertEqual(self.session.lease.id, item.lease)
+
+    def test_late_transaction_of_an_earlier_era_has_no_effect(self):
+        # The version that it expects has been given out again.
+        store = self.session.store
+        copy = memory_leased_store.copy_store(self.memory_store)
+        version = store.commit({}, [leased.Write("x", b"lost")], [], 1)
+        self.restore(copy)
+        sessions.forget_lease(self.session)
+        sessions.confirm(self.session)
+        self.memory_store.version = version - 1
+        store.commit({}, [leased.Write("x", b"new")], [], 2)
+        self.assertEqual(version, self.memory_store.items["x"].version)
+        self.assertRaises(
+            leased.StoreRestored,
+            memory_leased_store.run_transaction,
+            self.memory_store,
+            {"x": version, **eras.condition(1)},
+            [leased.Write("x", b"late")],
+            [],
+            1,
+        )
+        self.assertEqual(b"new", self.memory_store.items["x"].value)
+
+    def test_skipped_era_is_marked_as_well(self):
+        copy = memory_leased_store.copy_store(self.memory_store)
+        self.restore(copy)
+        self.restore(copy)
+        sessions.forget_lease(self.session)
+        sessions.confirm(self.session)
+        for era in (2, 3):
+            self.assertIn(eras.marker_key(era), self.memory_store.items)
