Take over the ranges of many lost owners in several passes

Cause: a transaction requires the entry of each displaced owner to be absent, and the platform's store allows 32 conditions and writes. group_parts bounds them for several parts, but not for one. The store refuses the transaction, and each pass plans it again. The stand-in did not refuse it, so no test saw that.

The stand-in refuses what the platform's store refuses.

Evidence: test_ranges_of_many_lost_owners_are_taken_over (60 owners in one part) fails without the bound.

--- a/packages/assignment/src/waxwinglever_assignment/planner.py
+++ b/packages/assignment/src/waxwinglever_assignment/planner.py
@@ -41,6 +41,10 @@
 # Share of its capacity that a backend server has during its cold start; in the
 # platform's deployments it serves about 22 of 70 requests a second then.
 COLD_CAPACITY_SHARE = 0.3
+# Missing owners whose ranges one pass takes over. A transaction changes at
+# least one part, with a condition and a write, and has a condition for each
+# owner.
+MAX_EXPIRED_OWNERS = commits.MAX_ENTRIES - 2
 # Bound on the moves that one log line lists.
 MAX_LOGGED_MOVES = 8
 # The planner acts, and counts owners as missing, only while the last
@@ -244,11 +248,17 @@
 
 
 def expired_owners(planner: Planner) -> frozenset[str]:
-    """Returns the missing owners whose ranges may be taken over."""
-    found = set()
+    """Returns missing owners whose ranges may be taken over.
+
+    There are MAX_EXPIRED_OWNERS at most; later passes return the others.
+    """
+    found: set[str] = set()
     for name, since_s in planner.missing.items():
         missing_s = planner.now() - since_s
-        if missing_s < sessions.TAKEOVER_WAIT_S:
+        if (
+            missing_s < sessions.TAKEOVER_WAIT_S
+            or len(found) == MAX_EXPIRED_OWNERS
+        ):
             continue
         if missing_s >= promises.EXPIRED_S or obtain_clearance(planner, name):
             found.add(name)
--- a/packages/assignment/tests/test_planner.py
+++ b/packages/assignment/tests/test_planner.py
@@ -132,3 +132,24 @@
         self.run_pass()
         found = tables.range_at(self.table(), held.first)
         self.assertEqual((held.node, held.fence), (found.node, found.fence))
+
+    def test_ranges_of_many_lost_owners_are_taken_over(self):
+        # The store refuses a transaction with more than 32 conditions and
+        # writes, and their ranges would stay without an owner.
+        last = self.table().ranges[-1]
+        table = tables.split_range(
+            self.table(),
+            last.fence,
+            [last.last - 64 * number for number in range(60)],
+        )
+        table = tables.update_ranges(
+            table,
+            {
+                item.fence: {"node": f"gone{number}", "instance": "x"}
+                for number, item in enumerate(table.ranges[-60:])
+            },
+        )
+        commits.commit(self.node.session.store, self.table(), table)
+        self.run_for(sessions.TAKEOVER_WAIT_S + 2.0)
+        owners = {item.node for item in self.table().ranges}
+        self.assertEqual({"n1", "n2"}, owners)
--- a/packages/standins/src/waxwinglever_standins/memory_leased_store.py
+++ b/packages/standins/src/waxwinglever_standins/memory_leased_store.py
@@ -9,6 +9,10 @@
 from waxwinglever_model import exceptions
 from waxwinglever_store import leased
 
+# The platform's store refuses a transaction with more conditions, writes and
+# removals together.
+MAX_ENTRIES = 32
+
 
 @attrs.define(eq=False)
 class MemoryLeasedStore:
@@ -181,11 +185,17 @@
     The store itself doesn't compare eras.
 
     Raises:
+      StoreUnavailable: There are more than MAX_ENTRIES conditions and writes.
       StoreRestored: The condition failed in another era than the caller's.
       VersionConflict: A key has another version than expected.
       LeaseExpired: A lease of a write has ended.
     """
     writes = tuple(writes)
+    removals = tuple(removals)
+    if len(expected) + len(writes) + len(removals) > MAX_ENTRIES:
+        raise exceptions.StoreUnavailable(
+            f"a transaction may have {MAX_ENTRIES} entries", "split it"
+        )
     for key, version in expected.items():
         item = store.items.get(key)
         if (item.version if item else leased.ABSENT) != version:
