--- a/packages/relay/tests/test_http_client.py
+++ b/packages/relay/tests/test_http_client.py
@@ -40,11 +40,12 @@
         self.pause_s = pause_s
         self.sent = 0
         self.listener = socket.create_server(("127.0.0.1", 0))
-        self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
         self.closed_by_caller = threading.Event()
         threading.Thread(target=self.run, daemon=True).start()
 
     def run(self) -> None:
+        """Serves one connection; runs in a thread."""
         try:
             connection, _ = self.listener.accept()
         except OSError:
@@ -61,6 +62,7 @@
                 self.closed_by_caller.set()
 
     def close(self) -> None:
+        """Refuses further connections."""
         self.listener.close()
 
 
