--- a/packages/assignment/src/waxwinglever_assignment/commits.py
+++ b/packages/assignment/src/waxwinglever_assignment/commits.py
@@ -2,13 +2,14 @@
 
 from collections.abc import Callable, Collection, Iterable
 
+from waxwinglever_assignment import eras
 from waxwinglever_assignment import fleet_view
 from waxwinglever_assignment import tables
 from waxwinglever_store import leased
 
 # Conditions and writes in one transaction together; the platform's store allows
-# 32.
-MAX_ENTRIES = 32
+# 32, and one of them is the condition on the era.
+MAX_ENTRIES = 31
 # Attempts at a change that conflicts with others. Busy ranges lie close
 # together, so several owners may hand over ranges of one part concurrently.
 MAX_ATTEMPTS = 5
@@ -32,12 +33,14 @@
     Raises:
       Conflict: The store has a newer version of a part, or one of the `absent`
         keys exists.
+      StoreRestored: The store was restored since the table was read.
       StoreUnavailable: The store did not answer.
     """
     parts = tables.changed_parts(before, after)
     keys = {part: fleet_view.part_key(after.service, part) for part in parts}
     expected = {keys[part]: before.versions[part] for part in parts}
     expected.update(dict.fromkeys(absent, leased.ABSENT))
+    expected.update(eras.condition(before.era))
     store.commit(
         expected,
         [
@@ -45,6 +48,7 @@
             for part in parts
         ],
         [],
+        before.era,
     )
 
 
@@ -63,6 +67,7 @@
 
     Raises:
       Conflict: Other nodes changed the table at each attempt.
+      StoreRestored: The store was restored since the table was read.
       StoreUnavailable: The store did not answer.
     """
     for attempts_left in reversed(range(MAX_ATTEMPTS)):
@@ -101,7 +106,7 @@
             part = part_numbers[item.key]
             parts[part] = tables.decode(item.value)
             versions[part] = item.version
-    return tables.assemble_table(table.service, parts, versions)
+    return tables.assemble_table(table.service, parts, versions, table.era)
 
 
 def create(
@@ -111,16 +116,21 @@
 
     Raises:
       Conflict: The service already has a table.
+      StoreRestored: The store was restored since the table was missed.
       StoreUnavailable: The store did not answer.
     """
     keys = [fleet_view.part_key(table.service, p) for p in range(tables.PARTS)]
     store.commit(
-        dict.fromkeys(keys, leased.ABSENT),
+        {
+            **dict.fromkeys(keys, leased.ABSENT),
+            **eras.condition(table.era),
+        },
         [
             leased.Write(key, tables.encode(table, part))
             for part, key in enumerate(keys)
         ],
         [],
+        table.era,
     )
 
 
@@ -137,5 +147,9 @@
         ranges += tables.ranges_in(source, part)
         fences.append(source.next_fences[part])
     return tables.OwnershipTable(
-        before.service, tuple(ranges), tuple(fences), before.versions
+        before.service,
+        tuple(ranges),
+        tuple(fences),
+        before.versions,
+        before.era,
     )
--- a/packages/assignment/src/waxwinglever_assignment/planner.py
+++ b/packages/assignment/src/waxwinglever_assignment/planner.py
@@ -11,6 +11,7 @@
 import attrs
 
 from waxwinglever_assignment import commits
+from waxwinglever_assignment import eras
 from waxwinglever_assignment import fleet_view
 from waxwinglever_assignment import loads
 from waxwinglever_assignment import planning
@@ -33,11 +34,17 @@
 BALANCE_S = 0.8
 # Interval between requests for load reports.
 REPORT_S = 0.3
+# Concurrent requests for load reports.
+REPORT_THREADS = 8
 # Assumed time that a request occupies a slot until a node has measured it.
 DEFAULT_SERVICE_S = 0.15
 # Share of its capacity that a backend server has during its cold start; in the
 # platform's deployments it serves about 22 of 70 requests a second then.
 COLD_CAPACITY_SHARE = 0.3
+# Missing owners whose ranges one pass takes over. A transaction changes at
+# least one part, with a condition and a write, and has a condition for each
+# owner.
+MAX_EXPIRED_OWNERS = commits.MAX_ENTRIES - 2
 # Bound on the moves that one log line lists.
 MAX_LOGGED_MOVES = 8
 # The planner acts, and counts owners as missing, only while the last
@@ -61,16 +68,26 @@
         PeerUnavailable.
       request_clearance: Asks a voter to clear an owner for takeover and returns
         the result of promises.clear_takeover; raises PeerUnavailable.
+      request_era_clearance: Asks a voter to clear all eras before one and
+        returns the result of promises.clear_earlier_eras; raises
+        PeerUnavailable.
       log: Called with an event name and fields.
+      first_start: Whether the whole system starts for the first time, so that
+        nobody has had a list of voters before.
       now: Returns the time in seconds.
       missing: When each owner without an entry was first noticed.
       receiver_counts: Number of members of each service that may get ranges,
         and when it last changed.
       balanced_s: When balance was last planned for each service.
       reports: Latest load report of each member.
+      asked: Members that were asked for a report in this era.
       cleared: Owners that a majority of the voters cleared for takeover.
-      voters_seen: Version of the list of voters, and when it was first seen.
+      voters_seen: Era and version of the list of voters, and when it was first
+        seen.
+      era: Era of the store that the fields above belong to.
+      cleared_era: Era for which all earlier ones were cleared.
       voter_executor: Threads that ask voters.
+      report_executor: Threads that fetch load reports.
       is_planner: Whether this node is the planner.
       stopping: Set when the threads must end.
     """
@@ -83,17 +100,25 @@
     can_be_planner: Callable[[], bool]
     fetch_load_report: Callable[[fleet_view.Member], loads.LoadReport]
     request_clearance: Callable[[str, str], float | None]
+    request_era_clearance: Callable[[str, int], float | None]
     log: Callable[..., None]
+    first_start: bool = False
     now: Callable[[], float] = clock.boottime_s
     missing: dict[str, float] = attrs.Factory(dict)
     receiver_counts: dict[str, tuple[int, float]] = attrs.Factory(dict)
     balanced_s: dict[str, float] = attrs.Factory(dict)
-    reports: dict[str, loads.LoadReport] = attrs.Factory(dict)
+    reports: dict[str, loads.LoadReport] = attrs.field(factory=dict)
+    asked: set[str] = attrs.Factory(set)
     cleared: set[str] = attrs.Factory(set)
-    voters_seen: tuple[int, float] = (-1, 0.0)
+    voters_seen: tuple[int, int, float] = (0, -1, 0.0)
+    era: int = 0
+    cleared_era: int = -1
     voter_executor: futures.ThreadPoolExecutor = attrs.Factory(
         lambda: futures.ThreadPoolExecutor(promises.MAX_VOTERS, "voters")
     )
+    report_executor: futures.ThreadPoolExecutor = attrs.Factory(
+        lambda: futures.ThreadPoolExecutor(REPORT_THREADS, "reports")
+    )
     is_planner: bool = False
     stopping: threading.Event = attrs.Factory(threading.Event)
 
@@ -126,8 +151,10 @@
 
     Raises:
       Conflict: Another node changed one of the keys first.
+      StoreRestored: The store was restored since the replica was read.
       StoreUnavailable: The store did not answer.
     """
+    forget_earlier_era(planner)
     update_role(planner)
     if not planner.is_planner:
         return
@@ -137,9 +164,24 @@
         plan_service(planner, service)
 
 
+def forget_earlier_era(planner: Planner) -> None:
+    """Discards what was learnt before a restore of the store."""
+    era = planner.fleet.replica.era
+    if planner.era != era:
+        planner.era = era
+        planner.missing.clear()
+        planner.cleared.clear()
+        planner.reports.clear()
+        planner.asked.clear()
+
+
 def confirmed_recently(planner: Planner) -> bool:
-    """Returns whether the store confirmed the session recently."""
-    return planner.now() - planner.session.confirmed_s < MAX_CONFIRMATION_AGE_S
+    """Returns whether the store confirmed the session recently.
+
+    The confirmation must belong to the era of the replica.
+    """
+    confirmed_s = planner.session.confirmations.get(planner.era, float("-inf"))
+    return planner.now() - confirmed_s < MAX_CONFIRMATION_AGE_S
 
 
 def update_role(planner: Planner) -> None:
@@ -155,16 +197,21 @@
         item = planner.fleet.replica.items.get(fleet_view.PLANNER)
         free = item is None and planner.fleet.replica.synced
         if free and planner.can_be_planner():
+            lease = planner.session.lease
             planner.store.commit(
-                {fleet_view.PLANNER: leased.ABSENT},
+                {
+                    fleet_view.PLANNER: leased.ABSENT,
+                    **eras.condition(planner.era),
+                },
                 [
                     leased.Write(
                         fleet_view.PLANNER,
                         member.incarnation.encode(),
-                        planner.session.lease,
+                        lease.id,
                     )
                 ],
                 [],
+                lease.era,
             )
             is_planner = True
         elif item is not None:
@@ -201,11 +248,17 @@
 
 
 def expired_owners(planner: Planner) -> frozenset[str]:
-    """Returns the missing owners whose ranges may be taken over."""
-    found = set()
+    """Returns missing owners whose ranges may be taken over.
+
+    There are MAX_EXPIRED_OWNERS at most; later passes return the others.
+    """
+    found: set[str] = set()
     for name, since_s in planner.missing.items():
         missing_s = planner.now() - since_s
-        if missing_s < sessions.TAKEOVER_WAIT_S:
+        if (
+            missing_s < sessions.TAKEOVER_WAIT_S
+            or len(found) == MAX_EXPIRED_OWNERS
+        ):
             continue
         if missing_s >= promises.EXPIRED_S or obtain_clearance(planner, name):
             found.add(name)
@@ -226,21 +279,9 @@
         # Without voters there can be no promises.
         return True
     voters = sorted({*record.names, *record.before} - {name})
-
-    def ask_voter(voter: str) -> str | None:
-        try:
-            return (
-                voter if planner.request_clearance(voter, name) == 0.0 else None
-            )
-        except exceptions.WaxwingleverError as error:
-            planner.log("voter-silent", voter=voter, error=error.message)
-            return None
-
-    agreeing = [
-        v
-        for v in planner.voter_executor.map(ask_voter, voters)
-        if v is not None
-    ]
+    agreeing = clearing_voters(
+        planner, voters, lambda voter: planner.request_clearance(voter, name)
+    )
     cleared = promises.is_majority(
         record.names, agreeing
     ) and promises.is_majority(record.before, agreeing)
@@ -256,10 +297,73 @@
     return cleared
 
 
+def clearing_voters(
+    planner: Planner,
+    voters: Sequence[str],
+    request: Callable[[str], float | None],
+) -> list[str]:
+    """Returns the voters that have no promise outstanding.
+
+    Args:
+      planner: State of the planner.
+      voters: Names of the voters to ask.
+      request: Asks a voter; returns seconds until its last promise ends, or
+        None if it doesn't know; raises PeerUnavailable.
+    """
+
+    def ask_voter(voter: str) -> bool:
+        try:
+            return request(voter) == 0.0
+        except exceptions.WaxwingleverError as error:
+            planner.log("voter-silent", voter=voter, error=error.message)
+            return False
+
+    answers = planner.voter_executor.map(ask_voter, voters)
+    return [voter for voter, clears in zip(voters, answers) if clears]
+
+
+def obtain_era_clearance(planner: Planner) -> bool:
+    """Asks the voters to clear all eras before the current one.
+
+    Returns:
+      Whether nobody can hold a range since an earlier era. That is certain
+      EXPIRED_S after the restore, and earlier if majorities of the list of
+      voters from before the restore and of its predecessor have no promise for
+      an earlier era outstanding.
+    """
+    if planner.cleared_era == planner.era:
+        return True
+    age_s = planner.now() - planner.fleet.replica.era_seen_s
+    if age_s < sessions.TAKEOVER_WAIT_S:
+        return False
+    agreeing = []
+    cleared = age_s >= promises.EXPIRED_S
+    record = fleet_view.voter_list(planner.fleet)
+    if not cleared and record is not None and record.era < planner.era:
+        agreeing = clearing_voters(
+            planner,
+            sorted({*record.names, *record.before}),
+            lambda voter: planner.request_era_clearance(voter, planner.era),
+        )
+        cleared = promises.is_majority(
+            record.names, agreeing
+        ) and promises.is_majority(record.before, agreeing)
+    planner.log(
+        "era-cleared" if cleared else "era-not-cleared",
+        era=planner.era,
+        age_s=round(age_s, 3),
+        agreeing=len(agreeing),
+    )
+    if cleared:
+        planner.cleared_era = planner.era
+    return cleared
+
+
 def update_voters(planner: Planner) -> None:
     """Writes the next list of voters, at most once in VOTERS_CHANGE_S.
 
-    The first list is written after SETTLE_S.
+    The first list of a new system is written after SETTLE_S. A list that is
+    missing later may have been lost in a restore of the store.
 
     Raises:
       Conflict: Another node changed the list first.
@@ -268,25 +372,29 @@
     item = planner.fleet.replica.items.get(fleet_view.VOTERS)
     version = item.version if item is not None else leased.ABSENT
     now_s = planner.now()
-    if planner.voters_seen[0] != version:
-        planner.voters_seen = (version, now_s)
+    if planner.voters_seen[:2] != (planner.era, version):
+        planner.voters_seen = (planner.era, version, now_s)
     present = [
         (member.name, member.zone)
         for member in fleet_view.list_members(planner.fleet)
     ]
     record = fleet_view.voter_list(planner.fleet)
-    waited_s = now_s - planner.voters_seen[1]
-    if waited_s < (
-        promises.VOTERS_CHANGE_S if record is not None else SETTLE_S
-    ):
+    waited_s = now_s - planner.voters_seen[2]
+    is_first = (
+        record is None
+        and planner.first_start
+        and not planner.fleet.replica.restored
+    )
+    if waited_s < (SETTLE_S if is_first else promises.VOTERS_CHANGE_S):
         return
-    next_list = promises.next_voters(record, present)
+    next_list = promises.next_voters(record, present, planner.era)
     if next_list is None:
         return
     planner.store.commit(
-        {fleet_view.VOTERS: version},
+        {fleet_view.VOTERS: version, **eras.condition(planner.era)},
         [leased.Write(fleet_view.VOTERS, promises.encode(next_list))],
         [],
+        planner.era,
     )
     planner.log(
         "voters-changed", names=next_list.names, before=next_list.before
@@ -309,9 +417,13 @@
     if table is None:
         create_initial_table(planner, service, members)
         return
+    if table.era != planner.era:
+        return
     now_s = planner.now()
     names = {member.name for member in members}
     reports = {n: r for n, r in planner.reports.items() if n in names}
+    if update_outdated_ranges(planner, table, members, reports):
+        return
     plan_input = planning.PlanInput(
         table,
         members,
@@ -330,6 +442,82 @@
     write_plan(planner, service, plan_input, planned)
 
 
+def update_outdated_ranges(
+    planner: Planner,
+    table: tables.OwnershipTable,
+    members: Sequence[fleet_view.Member],
+    reports: Mapping[str, loads.LoadReport],
+) -> bool:
+    """Brings records from before a restore of the store up to date.
+
+    Ranges that a member has held since before the restore are written as its
+    own. Any other may be held by a node that the restored table doesn't name.
+    When no grant from before the restore can be in force, they stay with their
+    recorded owner under a new fence, or are free to be placed.
+
+    Returns:
+      Whether the table was written.
+
+    Raises:
+      Conflict: Another node changed the table first.
+      StoreRestored: The store was restored since the replica was read.
+      StoreUnavailable: The store did not answer.
+    """
+    if all(tables.is_current(item, table.era) for item in table.ranges):
+        return False
+    after = table
+    for name, report in sorted(reports.items()):
+        if report.era == table.era:
+            after = tables.confirm_held(after, name, report.held)
+    cleared = (
+        any(not tables.is_current(item, table.era) for item in after.ranges)
+        # A member that holds ranges must have had the chance to report them.
+        and {member.name for member in members} <= planner.asked
+        and obtain_era_clearance(planner)
+    )
+    if cleared:
+        after = renew_outdated_ranges(after, members)
+    if after == table:
+        return False
+    commits.commit(planner.store, table, after)
+    planner.log(
+        "ranges-confirmed",
+        service=table.service,
+        era=table.era,
+        cleared=cleared,
+        outdated=sum(
+            not tables.is_current(item, table.era) for item in after.ranges
+        ),
+        ranges=len(after.ranges),
+    )
+    return True
+
+
+def renew_outdated_ranges(
+    table: tables.OwnershipTable, members: Sequence[fleet_view.Member]
+) -> tables.OwnershipTable:
+    """Returns the table with new fences for its outdated ranges.
+
+    Ranges of nodes that are no members lose their owner.
+    """
+    instances = {member.name: member.instance for member in members}
+    return tables.update_ranges(
+        table,
+        {
+            item.fence: {
+                "node": item.node
+                if item.node in instances
+                else tables.NO_OWNER,
+                "instance": instances.get(item.node, ""),
+                "handover": "",
+                "to_node": tables.NO_OWNER,
+            }
+            for item in table.ranges
+            if not tables.is_current(item, table.era)
+        },
+    )
+
+
 def write_plan(
     planner: Planner,
     service: str,
@@ -407,16 +595,30 @@
             planner.reports.clear()
             continue
         services = set(planner.services())
-        for member in fleet_view.list_members(planner.fleet):
-            if member.service not in services:
-                continue
-            try:
-                planner.reports[member.name] = planner.fetch_load_report(member)
-            except exceptions.WaxwingleverError as error:
-                planner.reports.pop(member.name, None)
-                planner.log(
-                    "load-unknown", node_name=member.name, error=error.message
-                )
+        # In parallel, as silent nodes must not delay the reports of ranges that
+        # others hold since before a restore.
+        list(
+            planner.report_executor.map(
+                lambda member: fetch_report(planner, member),
+                [
+                    member
+                    for member in fleet_view.list_members(planner.fleet)
+                    if member.service in services
+                ],
+            )
+        )
+
+
+def fetch_report(planner: Planner, member: fleet_view.Member) -> None:
+    """Fetches the load report of a member; a failure is logged."""
+    era = planner.era
+    try:
+        planner.reports[member.name] = planner.fetch_load_report(member)
+    except exceptions.WaxwingleverError as error:
+        planner.reports.pop(member.name, None)
+        planner.log("load-unknown", node_name=member.name, error=error.message)
+    if era == planner.era:
+        planner.asked.add(member.name)
 
 
 def capacities(
@@ -451,6 +653,7 @@
 
     Raises:
       Conflict: The service already has a table.
+      StoreRestored: The store was restored since the replica was read.
       StoreUnavailable: The store did not answer.
     """
     candidates = planning.eligible_receivers(
@@ -463,9 +666,16 @@
         return
     if not candidates or now_s - since_s < SETTLE_S:
         return
+    replica = planner.fleet.replica
     table = planning.plan_initial_table(
-        service, candidates, capacities(candidates, planner.reports)
+        service,
+        candidates,
+        capacities(candidates, planner.reports),
+        planner.era,
     )
+    if replica.restored or not planner.first_start:
+        # A table may have been lost in a restore, with ranges that nodes hold.
+        table = tables.mark_outdated(table)
     commits.create(planner.store, table)
     planner.log(
         "ranges-dealt",
--- a/packages/assignment/tests/test_sessions.py
+++ b/packages/assignment/tests/test_sessions.py
@@ -5,6 +5,7 @@
 import pytest
 import testtools
 
+from waxwinglever_assignment import eras
 from waxwinglever_assignment import fleet_view
 from waxwinglever_assignment import replicas
 from waxwinglever_assignment import sessions
@@ -90,3 +91,66 @@
     def test_close_removes_the_entry(self):
         sessions.close(self.session)
         self.assertNotIn(fleet_view.entry_key("n1"), self.memory_store.items)
+
+    def restore(self, copy):
+        memory_leased_store.restore_store(self.memory_store, copy)
+
+    def test_lease_id_given_out_again_is_not_renewed(self):
+        # The store gives the lost lease's id to another node.
+        sessions.close(self.session)
+        copy = memory_leased_store.copy_store(self.memory_store)
+        sessions.reset_lease(self.session)
+        sessions.confirm(self.session)
+        self.restore(copy)
+        other = memory_leased_store.connect(self.memory_store).open_lease(2.0)
+        self.assertEqual(self.session.lease.id, other.id)
+        end_s = self.memory_store.leases[other.id][0]
+        self.session.store.get("x")
+        self.clock.now_s += 0.5
+        self.assertRaises(leased.StoreRestored, sessions.confirm, self.session)
+        self.assertEqual(end_s, self.memory_store.leases[other.id][0])
+
+    def test_restore_keeps_the_session_valid_until_a_new_lease_is_opened(self):
+        copy = memory_leased_store.copy_store(self.memory_store)
+        self.restore(copy)
+        valid_until_s = sessions.valid_until_s(self.session)
+        self.assertRaises(leased.StoreRestored, sessions.confirm, self.session)
+        sessions.forget_lease(self.session)
+        self.assertEqual(valid_until_s, sessions.valid_until_s(self.session))
+        self.clock.now_s += 0.5
+        sessions.confirm(self.session)
+        self.assertEqual(2, self.session.lease.era)
+        self.assertEqual({1: 100.0, 2: 100.5}, self.session.confirmations)
+        item = self.memory_store.items[fleet_view.entry_key("n1")]
+        self.assertEqual(self.session.lease.id, item.lease)
+
+    def test_late_transaction_of_an_earlier_era_has_no_effect(self):
+        # The version that it expects has been given out again.
+        store = self.session.store
+        copy = memory_leased_store.copy_store(self.memory_store)
+        version = store.commit({}, [leased.Write("x", b"lost")], [], 1)
+        self.restore(copy)
+        sessions.forget_lease(self.session)
+        sessions.confirm(self.session)
+        self.memory_store.version = version - 1
+        store.commit({}, [leased.Write("x", b"new")], [], 2)
+        self.assertEqual(version, self.memory_store.items["x"].version)
+        self.assertRaises(
+            leased.StoreRestored,
+            memory_leased_store.run_transaction,
+            self.memory_store,
+            {"x": version, **eras.condition(1)},
+            [leased.Write("x", b"late")],
+            [],
+            1,
+        )
+        self.assertEqual(b"new", self.memory_store.items["x"].value)
+
+    def test_skipped_era_is_marked_as_well(self):
+        copy = memory_leased_store.copy_store(self.memory_store)
+        self.restore(copy)
+        self.restore(copy)
+        sessions.forget_lease(self.session)
+        sessions.confirm(self.session)
+        for era in (2, 3):
+            self.assertIn(eras.marker_key(era), self.memory_store.items)
