--- a/packages/assignment/tests/test_planning.py
+++ b/packages/assignment/tests/test_planning.py
@@ -217,3 +217,51 @@
             plan_input, members=(), expired_owners=set(NAMES)
         )
         self.assertEqual(plan_input.table, planning.plan(plan_input, True))
+
+    def test_outdated_ranges_are_not_placed(self):
+        # After a restore of the store another node may hold them.
+        first = self.plan_input()
+        table = attrs.evolve(
+            planning.plan_initial_table(
+                "dispatch", first.members, CAPACITIES, era=1
+            ),
+            era=2,
+        )
+        gone = attrs.evolve(
+            first,
+            table=table,
+            members=first.members[1:],
+            expired_owners={"n1"},
+        )
+        self.assertEqual(table, planning.plan(gone, False))
+        draining = attrs.evolve(
+            first,
+            table=table,
+            members=(
+                attrs.evolve(first.members[0], state=fleet_view.DRAINING),
+                *first.members[1:],
+            ),
+        )
+        self.assertEqual(table, planning.plan(draining, False))
+
+    def test_outdated_ranges_are_not_moved_for_balance(self):
+        # After a restore of the store the busy node may not hold them. No range
+        # but an outdated one would help.
+        first = self.plan_input()
+        table = planning.plan_initial_table(
+            "dispatch", first.members, CAPACITIES, era=2
+        )
+        hot, outdated = tables.owned_ranges(table, "n1")[:2]
+        table = attrs.evolve(
+            table,
+            ranges=tuple(
+                attrs.evolve(item, era=1) if item == outdated else item
+                for item in table.ranges
+            ),
+        )
+        rates = {
+            loads.bucket_of(hot.first): 120.0,
+            loads.bucket_of(outdated.first): 60.0,
+        }
+        plan_input = attrs.evolve(first, table=table, rates=rates)
+        self.assertEqual(table, planning.plan(plan_input, True))
--- a/packages/assignment/tests/test_sessions.py
+++ b/packages/assignment/tests/test_sessions.py
@@ -7,6 +7,7 @@
 
 from waxwinglever_assignment import eras
 from waxwinglever_assignment import fleet_view
+from waxwinglever_assignment import promises
 from waxwinglever_assignment import replicas
 from waxwinglever_assignment import sessions
 from waxwinglever_model import exceptions
@@ -154,3 +155,41 @@
         sessions.confirm(self.session)
         for era in (2, 3):
             self.assertIn(eras.marker_key(era), self.memory_store.items)
+
+    def lose_store_after_a_restore(self):
+        """Restores the store, which then fails; ranges of era 1 are held."""
+        self.restore(memory_leased_store.copy_store(self.memory_store))
+        self.session.store.get("x")
+        sessions.forget_lease(self.session)
+        self.clock.now_s += 0.5
+        sessions.confirm(self.session)
+        self.memory_store.down = True
+        self.session.outdated_eras = lambda: (1,)
+        self.clock.now_s += 1.0
+
+    def test_promise_for_a_later_era_extends_no_earlier_ranges(self):
+        # Voters that have cleared the earlier era still promise for the later
+        # one.
+        self.lose_store_after_a_restore()
+        self.session.request_promises = lambda era: era == 2
+        sessions.request_extensions(self.session, is_confirmed=False)
+        self.assertEqual(
+            100.0 + sessions.CONFIRMATION_VALID_S,
+            sessions.outdated_valid_until_s(self.session, 1),
+        )
+        self.assertEqual(
+            101.5 + promises.PROMISE_S,
+            sessions.outdated_valid_until_s(self.session, 2),
+        )
+
+    def test_promise_for_an_earlier_era_extends_all_ranges(self):
+        # Promises are asked for in the name of one era only, so ranges of the
+        # later one would be lost in an outage of the store.
+        self.lose_store_after_a_restore()
+        self.session.request_promises = lambda era: True
+        sessions.request_extensions(self.session, is_confirmed=False)
+        for era in (1, 2):
+            self.assertEqual(
+                101.5 + promises.PROMISE_S,
+                sessions.outdated_valid_until_s(self.session, era),
+            )
