Explore partitions and lost records around a restore

The explorer could not separate nodes from each other or restart daemons at the time of a restore, so it saw neither of two faults fixed before: a planner that started after the restore dealt a lost table as up to date, and a lost change of the list of voters led to two holders.

Mutations of the code, each with the test that fails: - create_initial_table marks ranges outdated only if the replica was restored, or never: test_planner_started_after_a_restore_does_not_deal_a_lost_table - PREDECESSOR_S = VOTERS_CHANGE_S; recent_voter_list always with before=(); request_promises of the simulation without the previous list: test_lost_change_of_voters_leads_to_no_second_holder - last_until with the times of all eras: test_partition_beside_a_restore_leads_to_no_second_holder Planted in the tests themselves, and found: PROMISE_DENIAL_S = 0, last_until with all times, one voter as a majority, mark_outdated without effect, PREDECESSOR_S = VOTERS_CHANGE_S, before=(). Not found by the partition seeds: promise() without the check of the voter's start, and without min_era; both are guarded in test_promises.py.

--- a/packages/assignment/tests/test_exploration.py
+++ b/packages/assignment/tests/test_exploration.py
@@ -3,6 +3,7 @@
 import random
 from unittest import mock
 
+import attrs
 import testtools
 
 from waxwinglever_assignment import fleet_view
@@ -18,6 +19,17 @@
 # Seeds with restores of the store beside the other faults.
 RESTORE_SEEDS = range(1, 25)
 RESTORE_SHARE = 0.2
+# Seeds with partitions between nodes and restarts of daemons beside restores. A
+# few keep the test short; each planted fault is found with them.
+PARTITION_SEEDS = range(5, 12)
+# Extensions after a change of the list of voters take long.
+PARTITION_FAULT_STEPS = 1200
+# Seeds of the days of one lost record each.
+LOST_TABLE_SEEDS = range(1, 7)
+LOST_VOTERS_SEEDS = range(1, 4)
+# Age of the new list of voters when it is lost. The late voters promise by
+# then.
+LOST_VOTERS_AGE_S = 10.0
 NODES = 5
 FAULT_STEPS = 500
 # Ranges are held again within this time, even if the majority of the voters
@@ -69,9 +81,39 @@
         memory_leased_store.delete_key(simulation.store, fleet_view.PLANNER)
 
 
+def restore_with_faults(
+    simulation: fleet_simulation.Simulation, rng: random.Random, age_s: float
+) -> None:
+    """Restores the store; starts or ends faults at the same time.
+
+    Either some daemons restart, or some nodes are separated from the others and
+    most of them from the store, or one VM freezes, or the separation ends.
+    """
+    fleet_simulation.restore_store(simulation, age_s)
+    names = sorted(simulation.nodes)
+    kind = rng.random()
+    if kind < 0.25:
+        for name in names:
+            if rng.random() < 0.4:
+                fleet_simulation.start_daemon(
+                    simulation, simulation.nodes[name]
+                )
+    elif kind < 0.6:
+        separated = rng.sample(names, rng.randrange(1, 4))
+        simulation.partition = frozenset(separated)
+        for name in separated:
+            simulation.nodes[name].store_cut = rng.random() < 0.8
+    elif kind < 0.7:
+        node = simulation.nodes[rng.choice(names)]
+        node.frozen_until_s = simulation.now_s + rng.uniform(0.3, 6.0)
+    else:
+        simulation.partition = frozenset()
+
+
 def end_faults(simulation: fleet_simulation.Simulation) -> None:
     """Ends all faults."""
     simulation.store.down = False
+    simulation.partition = frozenset()
     simulation.lost_commit_share = simulation.late_grant_share = 0.0
     for node in simulation.nodes.values():
         node.store_cut = node.peers_cut = False
@@ -81,23 +123,30 @@
 
 
 def simulate(
-    seed: int, restore_share: float = 0.0
+    seed: int,
+    restore_share: float = 0.0,
+    restore=lambda simulation, _, age_s: fleet_simulation.restore_store(
+        simulation, age_s
+    ),
+    fault_steps: int = FAULT_STEPS,
 ) -> fleet_simulation.Simulation:
     """Simulates faults and recovery with one seed; returns the final state.
 
     Args:
       seed: Seed of all randomness.
       restore_share: Share of the faults that are restores of the store.
+      restore: Restores the store from a copy of a given age.
+      fault_steps: Number of steps with faults.
     """
     rng = random.Random(seed)
     simulation = fleet_simulation.new_simulation(seed, NODES)
     for _ in range(60):
         fleet_simulation.step(simulation)
-    for _ in range(FAULT_STEPS):
+    for _ in range(fault_steps):
         if rng.random() < 0.03:
             if restore_share and rng.random() < restore_share:
                 age_s = rng.uniform(0.0, fleet_simulation.COPIES_KEPT_S)
-                fleet_simulation.restore_store(simulation, age_s)
+                restore(simulation, rng, age_s)
             else:
                 toggle_random_fault(simulation, rng)
         fleet_simulation.step(simulation)
@@ -108,6 +157,65 @@
     return simulation
 
 
+def simulate_partitions(
+    seed: int, restore_share: float = RESTORE_SHARE
+) -> fleet_simulation.Simulation:
+    """Simulates faults with partitions and restarts beside the restores."""
+    return simulate(
+        seed, restore_share, restore_with_faults, PARTITION_FAULT_STEPS
+    )
+
+
+def simulate_lost_table(seed: int) -> fleet_simulation.Simulation:
+    """Restores a copy without the table while some daemons restart."""
+    simulation = fleet_simulation.new_simulation(seed, NODES)
+    key = fleet_view.part_key(fleet_simulation.SERVICE, 0)
+    copy = None
+    while key not in simulation.store.items:
+        copy = memory_leased_store.copy_store(simulation.store)
+        fleet_simulation.step(simulation)
+    fleet_simulation.run_for(simulation, 4.0)
+    simulation.store.down = True
+    fleet_simulation.run_for(simulation, 0.5)
+    for name in ("n1", "n3"):
+        fleet_simulation.start_daemon(simulation, simulation.nodes[name])
+    fleet_simulation.run_for(simulation, 0.5)
+    simulation.store.down = False
+    memory_leased_store.restore_store(simulation.store, copy)
+    fleet_simulation.run_for(simulation, 10.0)
+    return simulation
+
+
+def simulate_lost_voters(seed: int) -> fleet_simulation.Simulation:
+    """Restores a copy without the latest change of the list of voters.
+
+    Most of the new voters, but not of the old ones, are separated from the
+    store and the other nodes at the same time.
+    """
+    simulation = fleet_simulation.new_simulation(seed, NODES)
+    late = ("n3", "n4")
+    for name in late:
+        simulation.nodes[name].up = False
+    fleet_simulation.run_for(simulation, 6.0)
+    for name in late:
+        fleet_simulation.start_daemon(simulation, simulation.nodes[name])
+    before = simulation.store.items[fleet_view.VOTERS]
+    copy = None
+    while simulation.store.items[fleet_view.VOTERS] == before:
+        copy = memory_leased_store.copy_store(simulation.store)
+        fleet_simulation.step(simulation)
+    fleet_simulation.run_for(simulation, LOST_VOTERS_AGE_S)
+    simulation.partition = frozenset(("n0", *late))
+    for name in simulation.partition:
+        simulation.nodes[name].store_cut = True
+    simulation.store.down = True
+    fleet_simulation.run_for(simulation, 1.0)
+    simulation.store.down = False
+    memory_leased_store.restore_store(simulation.store, copy)
+    fleet_simulation.run_for(simulation, promises.EXPIRED_S)
+    return simulation
+
+
 def longest_gap_s(simulation: fleet_simulation.Simulation) -> float:
     """Returns the longest time that a bucket has no holder from now on.
 
@@ -140,6 +248,29 @@
             self.assertEqual([], simulation.low_fences, seed)
             self.assertLess(longest_gap_s(simulation), MAX_GAP_S, seed)
 
+    def test_partition_beside_a_restore_leads_to_no_second_holder(self):
+        # The store and the voters that a node reaches know different owners.
+        for seed in PARTITION_SEEDS:
+            simulation = simulate_partitions(seed)
+            self.assertEqual([], simulation.overlaps, seed)
+            self.assertEqual([], simulation.low_fences, seed)
+            self.assertLess(longest_gap_s(simulation), MAX_GAP_S, seed)
+
+    def test_planner_started_after_a_restore_does_not_deal_a_lost_table(self):
+        # The daemon restarts while the store is away, so it has seen no other
+        # era, and the owners go on under the fences of the lost table.
+        for seed in LOST_TABLE_SEEDS:
+            simulation = simulate_lost_table(seed)
+            self.assertEqual([], simulation.overlaps, seed)
+            self.assertEqual([], simulation.low_fences, seed)
+
+    def test_lost_change_of_voters_leads_to_no_second_holder(self):
+        # Owners ask the new voters, the planner those of the restored list.
+        for seed in LOST_VOTERS_SEEDS:
+            simulation = simulate_lost_voters(seed)
+            self.assertEqual([], simulation.overlaps, seed)
+            self.assertEqual([], simulation.low_fences, seed)
+
     def test_owners_keep_ranges_through_a_restore(self):
         # The copy is from before the latest moves.
         simulation = fleet_simulation.new_simulation(4, NODES)
@@ -185,6 +316,36 @@
                 )
             self.assertTrue(found, name)
 
+    def test_planted_faults_beside_a_restore_are_found(self):
+        # Voters promise again at once after a restart or a clearance, owners
+        # extend their ranges by any promise, one voter is enough, or one of the
+        # lost records goes unnoticed.
+        def latest(times_s, _):
+            return max(times_s.values(), default=float("-inf"))
+
+        def has_one(names, agreeing):
+            return not names or bool(set(names) & set(agreeing))
+
+        def without_before(fleet):
+            record = fleet_view.voter_list(fleet)
+            return record and attrs.evolve(record, before=())
+
+        partitions = (simulate_partitions, PARTITION_SEEDS)
+        lost_table = (simulate_lost_table, LOST_TABLE_SEEDS)
+        lost_voters = (simulate_lost_voters, LOST_VOTERS_SEEDS)
+        planted = (
+            (partitions, promises, "PROMISE_DENIAL_S", 0.0),
+            (partitions, sessions, "last_until", latest),
+            (partitions, promises, "is_majority", has_one),
+            (lost_table, tables, "mark_outdated", lambda table: table),
+            (lost_voters, promises, "PREDECESSOR_S", promises.VOTERS_CHANGE_S),
+            (lost_voters, fleet_view, "recent_voter_list", without_before),
+        )
+        for (run, seeds), module, name, value in planted:
+            with mock.patch.object(module, name, value):
+                found = any(run(seed).overlaps for seed in seeds)
+            self.assertTrue(found, name)
+
     def test_all_shards_are_held_without_faults(self):
         simulation = fleet_simulation.new_simulation(1, NODES)
         for _ in range(60):
--- a/packages/standins/src/waxwinglever_standins/fleet_simulation.py
+++ b/packages/standins/src/waxwinglever_standins/fleet_simulation.py
@@ -112,6 +112,8 @@
       now_s: Simulated time, in seconds.
       store: The simulated store.
       nodes: All nodes by name.
+      partition: Names of the nodes that can reach each other, but not the
+        remaining nodes, nor these them.
       lost_commit_share: Share of the commits whose response is lost.
       late_grant_share: Share of the grants that are applied late.
       overlaps: Descriptions of grants of shards that another server held.
@@ -129,6 +131,7 @@
     now_s: float = START_S
     store: memory_leased_store.MemoryLeasedStore | None = None
     nodes: dict[str, Node] = attrs.field(factory=dict)
+    partition: frozenset[str] = frozenset()
     lost_commit_share: float = 0.0
     late_grant_share: float = 0.0
     overlaps: list[str] = attrs.Factory(list)
@@ -298,13 +301,17 @@
 def can_reach(simulation: Simulation, node: Node, name: str) -> bool:
     """Returns whether a node can call another one.
 
-    Neither node may be cut off from others, and the other one has to run and
-    not be frozen. A node can always call itself.
+    Neither node may be cut off from others, both must be on the same side of a
+    partition, and the other one has to run and not be frozen. A node can always
+    call itself.
     """
     other = simulation.nodes[name]
     if name == node.name:
         return True
-    cut = node.peers_cut or other.peers_cut
+    separated = (node.name in simulation.partition) != (
+        name in simulation.partition
+    )
+    cut = separated or node.peers_cut or other.peers_cut
     return other.up and not cut and simulation.now_s >= other.frozen_until_s
 
 
