--- a/packages/hops/tests/test_control.py
+++ b/packages/hops/tests/test_control.py
@@ -1,8 +1,12 @@
 """Tests of waxwinglever_hops.control."""
 
+import types
+
 import msgspec
 import testtools
 
+from waxwinglever_assignment import fleet_view
+from waxwinglever_assignment import promises
 from waxwinglever_hops import control
 from waxwinglever_relay import http_client
 from waxwinglever_store import leased
@@ -74,3 +78,49 @@
             ),
             control.latest_changes(changes),
         )
+
+
+class PromisesTest(testtools.TestCase):
+    """Guards against an owner that goes on without enough promises."""
+
+    def setUp(self):
+        super().setUp()
+        self.answers = {}
+        self.paths = set()
+        self.record = promises.VoterList(("a", "b", "c"), ("x", "y", "z"))
+        self.patch(control, "last_known_address", lambda _, name: name)
+        self.patch(control, "control_call", self.answer)
+        self.patch(fleet_view, "recent_voter_list", lambda _: self.record)
+        self.request_promises = control.promise_client(
+            None, None, "n1", types.SimpleNamespace(map=map)
+        )
+
+    def answer(self, _, address: str, path: str) -> bytes:
+        """Answers a control call as the voter at an address does."""
+        self.paths.add(path)
+        return self.answers.get(address, b"false")
+
+    def promised_by(self, *names: str) -> bool:
+        """Returns whether the promises of some voters suffice."""
+        self.answers = dict.fromkeys(names, b"true")
+        return self.request_promises(3)
+
+    def test_recent_list_needs_a_majority_of_the_list_before_as_well(self):
+        # The change of the list may be lost in a restore of the store. The
+        # planner then asks the voters of the list before.
+        self.assertFalse(self.promised_by("a", "b", "c", "x"))
+        self.assertFalse(self.promised_by("a", "x", "y", "z"))
+        self.assertTrue(self.promised_by("a", "b", "x", "y"))
+        self.record = promises.VoterList(("a", "b", "c"))
+        self.assertTrue(self.promised_by("a", "b"))
+
+    def test_promise_is_asked_for_in_the_name_of_an_era(self):
+        # A voter that has cleared this era must be able to refuse.
+        self.promised_by("a")
+        self.assertEqual({control.PROMISE_PATH + "3/n1"}, self.paths)
+
+    def test_voter_without_a_valid_answer_has_not_promised(self):
+        # An earlier version answers 404 without a body.
+        for body in (b"", b"null", b"<html>"):
+            self.answers = dict.fromkeys("abcxyz", body)
+            self.assertFalse(self.request_promises(3))
