--- a/packages/assignment/src/waxwinglever_assignment/readers.py
+++ b/packages/assignment/src/waxwinglever_assignment/readers.py
@@ -120,6 +120,7 @@
         reader = choose_reader(follower)
         log_reader_change(follower, reader.name if reader else "")
         if reader is not None:
+            asked_s = follower.now()
             try:
                 return follower.fetch_changes(reader, prefix, version, era)
             except leased.HistoryCompacted:
@@ -128,7 +129,12 @@
             except exceptions.PeerUnavailable as error:
                 follower.avoid_until_s[reader.name] = follower.now() + AVOID_S
                 follower.log(
-                    "reader-lost", reader=reader.name, error=error.message
+                    "reader-lost",
+                    reader=reader.name,
+                    prefix=prefix,
+                    version=version,
+                    taken_s=round(follower.now() - asked_s, 3),
+                    error=error.message,
                 )
                 # A watch that waits and is lost takes as long again at each
                 # daemon that repeats it; a full link lost it and the reader.
--- a/packages/relay/src/waxwinglever_relay/http_client.py
+++ b/packages/relay/src/waxwinglever_relay/http_client.py
@@ -172,14 +172,14 @@
     conn = take_idle(client, address) or open_connection(
         client, address, deadline_s
     )
+    conn.sock.deadline_s = deadline_s
+    conn.sock.bytes_left = MAX_RESPONSE_BYTES
     reusable = False
     try:
         body_sent = write_request(
             conn, method, target, headers, body, deadline_s
         )
         wait_readable(conn.sock, caller, deadline_s)
-        conn.sock.deadline_s = deadline_s
-        conn.sock.bytes_left = MAX_RESPONSE_BYTES
         response = conn.getresponse()
         complete = Response(
             response.status,
@@ -191,7 +191,9 @@
         return complete
     except TimeoutError as error:
         raise ResponseTimeout(
-            f"{address} did not answer in time", "check its load"
+            f"{address} did not answer in time, after"
+            f" {received_bytes(conn)} bytes",
+            "check its load and its link",
         ) from error
     except (
         OSError,
@@ -199,7 +201,8 @@
         urllib3.exceptions.HTTPError,
     ) as error:
         raise ResponseLost(
-            f"{address} gave no complete answer: {type(error).__name__}",
+            f"{address} gave no complete answer: {type(error).__name__} after"
+            f" {received_bytes(conn)} bytes",
             "check whether it crashed",
         ) from error
     finally:
@@ -235,6 +238,11 @@
     return conn
 
 
+def received_bytes(conn: connection.HTTPConnection) -> int:
+    """Returns how much of the current response has arrived, head included."""
+    return MAX_RESPONSE_BYTES - conn.sock.bytes_left if conn.sock else 0
+
+
 def remaining_s(deadline_s: float) -> float:
     """Returns the time until a deadline, at least 1 ms, as a socket timeout."""
     return max(0.001, deadline_s - clock.boottime_s())
--- a/packages/relay/tests/test_http_client.py
+++ b/packages/relay/tests/test_http_client.py
@@ -108,6 +108,26 @@
                 server.sent, 4 * http_client.MAX_RESPONSE_BYTES, name
             )
 
+    def test_error_tells_how_much_of_the_response_arrived(self):
+        # A server that does not answer and a transfer that was cut looked
+        # alike in the log.
+        begin = HEAD + b"Content-Length: 1000\r\n\r\n" + b"x" * 200
+        for sent in (b"", begin):
+            server = Server(sent, b"", TRICKLE_S)
+            self.addCleanup(server.close)
+            error = self.assertRaises(
+                http_client.ResponseLost,
+                http_client.send_request,
+                http_client.Client(1.0),
+                server.address,
+                "GET",
+                "/",
+                {"Host": server.address},
+                b"",
+                clock.boottime_s() + 0.3,
+            )
+            self.assertIn(f"after {len(sent)} bytes", error.message)
+
     def test_long_response_within_the_limit_is_whole(self):
         body = b"x" * (http_client.MAX_RESPONSE_BYTES // 2)
         head = HEAD + b"Content-Length: %d\r\n\r\n" % len(body)
