Let a transfer of store changes go on while it makes progress

Cause: the time for store changes counted from the request (1.2 s from a reader, of which it may wait 0.8 s for a change; 0.6 s from the store) and took no account of size or progress. A configuration of 41 KB that came late in the wait was cut on a full link, and the store's 310 KB three times after that. Class of fault: a fixed deadline for work whose size grows. Change: the timeout of reads of the store, direct, through a reader or through another daemon, bounds only the begin of the response. It then goes on while no pause is longer than 1 s and it arrives at 12.5 KB/s at least. Requests of callers keep their deadline. Evidence: two tests of the HTTP client and test_changes_that_come_late_in_the_wait_are_not_cut, in which a reader answers after 0.8 s over a link of 40 KB/s.

--- a/packages/hops/src/waxwinglever_hops/control.py
+++ b/packages/hops/src/waxwinglever_hops/control.py
@@ -48,6 +48,9 @@
 COMPRESSED_ENCODING = "deflate"
 # Short, as callers soon repeat a call that got no response.
 CALL_TIMEOUT_S = 0.3
+# How long a response with store changes may pause once it has begun. Packets
+# wait for over half a second on a link that is full of bodies.
+CHANGES_STALL_S = 1.0
 
 
 @attrs.define(eq=False)
@@ -202,6 +205,7 @@
             reader.address,
             path,
             readers.FOLLOWER_WAIT_S + readers.FOLLOWER_MARGIN_S,
+            CHANGES_STALL_S,
         )
         if response.status == GONE_STATUS:
             raise leased.HistoryCompacted(
@@ -231,10 +235,21 @@
 
 
 def control_request(
-    client: http_client.Client, address: str, path: str, timeout_s: float
+    client: http_client.Client,
+    address: str,
+    path: str,
+    timeout_s: float,
+    stall_s: float | None = None,
 ) -> http_client.Response:
     """Sends a control call to another daemon and returns its response.
 
+    Args:
+      client: The connection pool.
+      address: host:port of the daemon.
+      path: Path of the call.
+      timeout_s: How long to wait for the response.
+      stall_s: See http_client.send_request.
+
     Raises:
       PeerUnavailable: No response arrived in time.
     """
@@ -247,6 +262,7 @@
             {"Host": address},
             b"",
             clock.boottime_s() + timeout_s,
+            stall_s=stall_s,
         )
     except (http_client.ConnectFailed, http_client.ResponseLost) as error:
         http_client.close_idle(client, address)
--- a/packages/hops/tests/test_control.py
+++ b/packages/hops/tests/test_control.py
@@ -1,5 +1,8 @@
 """Tests of waxwinglever_hops.control."""
 
+import socket
+import threading
+import time
 import types
 
 import msgspec
@@ -7,6 +10,7 @@
 
 from waxwinglever_assignment import fleet_view
 from waxwinglever_assignment import promises
+from waxwinglever_assignment import readers
 from waxwinglever_hops import control
 from waxwinglever_relay import http_client
 from waxwinglever_store import leased
@@ -30,6 +34,46 @@
     )
 
 
+# Bytes that a full link leaves for a response in each PIECE_S.
+PIECE_BYTES = 4_096
+PIECE_S = 0.1
+
+
+class FullLink:
+    """A reader behind a full link, which sends one response piece by piece.
+
+    Attributes:
+      response: The response that the reader sends.
+      wait_s: How long the reader waits for a change before it answers.
+      address: host:port of the reader.
+    """
+
+    def __init__(self, response: http_client.Response, wait_s: float):
+        self.response = response
+        self.wait_s = wait_s
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        threading.Thread(target=self.run, daemon=True).start()
+
+    def run(self) -> None:
+        """Answers one request; runs in a thread."""
+        conn, _ = self.listener.accept()
+        with conn:
+            conn.recv(65_536)
+            time.sleep(self.wait_s)
+            lines = [f"HTTP/1.1 {self.response.status} OK"]
+            lines += [f"{n}: {v}" for n, v in self.response.headers]
+            lines += [f"Content-Length: {len(self.response.body)}", "", ""]
+            data = "\r\n".join(lines).encode() + self.response.body
+            try:
+                for start in range(0, len(data), PIECE_BYTES):
+                    conn.sendall(data[start : start + PIECE_BYTES])
+                    time.sleep(PIECE_S)
+            except OSError:
+                # The caller has given up.
+                return
+
+
 class ChangesTest(testtools.TestCase):
     """Guards against changes that take too long to reach a follower."""
 
@@ -46,6 +90,16 @@
         response = self.send(make_changes(make_config(1_550)))
         self.assertLess(len(response.body), 62_500)
 
+    def test_changes_that_come_late_in_the_wait_are_not_cut(self):
+        # A change at the end of the reader's wait had 0.4 s to arrive. The
+        # transfer was cut on a full link and began again at the store.
+        changes = make_changes(make_config(1_550))
+        link = FullLink(self.send(changes), readers.FOLLOWER_WAIT_S)
+        self.addCleanup(link.listener.close)
+        fetch = control.changes_client(http_client.Client(1.0))
+        reader = fleet_view.Member("n1", "1", link.address, "a", "ledger")
+        self.assertEqual(changes, fetch(reader, "op/", 1, 1))
+
     def test_changes_of_any_size_arrive_unchanged(self):
         for routes in (0, 1, 1_550):
             changes = make_changes(make_config(routes))
--- a/packages/relay/src/waxwinglever_relay/http_client.py
+++ b/packages/relay/src/waxwinglever_relay/http_client.py
@@ -35,6 +35,10 @@
 # A response with more bytes, head included, is given up: a faulty server may
 # send bytes without end. Each request in flight may need this much memory.
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
+# A response of unknown size that has begun may go on past its deadline while it
+# arrives at this rate at least, 2% of a link of 5 Mbit/s. A slower one ends, as
+# bytes that trickle in would hold the thread.
+MIN_BYTES_PER_S = 12_500
 
 SOCKET_OPTIONS = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
@@ -90,10 +94,15 @@
       deadline_s: When reads fail with TimeoutError, on the boot clock.
       bytes_left: Bytes that may still be read before reads fail with
         ResponseTooLong.
+      stall_s: How long a response that has begun may pause; extends the
+        deadline. None if the deadline is fixed.
+      begun_s: When the response began, or None.
     """
 
     deadline_s: float = float("inf")
     bytes_left: int = 0
+    stall_s: float | None = None
+    begun_s: float | None = None
 
     def recv_into(self, *args) -> int:
         """Reads some bytes; see socket.socket.recv_into."""
@@ -107,8 +116,19 @@
             raise ResponseTooLong(
                 f"the response exceeds {MAX_RESPONSE_BYTES} bytes"
             )
+        if self.stall_s is not None:
+            self.extend_deadline(self.stall_s)
         return count
 
+    def extend_deadline(self, stall_s: float) -> None:
+        """Extends the deadline for a response that has made progress."""
+        now_s = clock.boottime_s()
+        if self.begun_s is None:
+            self.begun_s = now_s
+        received = MAX_RESPONSE_BYTES - self.bytes_left
+        latest_s = self.begun_s + stall_s + received / MIN_BYTES_PER_S
+        self.deadline_s = max(self.deadline_s, min(now_s + stall_s, latest_s))
+
 
 @attrs.define(eq=False)
 class IdleConnection:
@@ -147,6 +167,7 @@
     deadline_s: float,
     caller: messages.CallerConnection | None = None,
     check: Callable[[Response], None] = lambda _: None,
+    stall_s: float | None = None,
 ) -> Response:
     """Sends a request and returns its complete response.
 
@@ -162,11 +183,14 @@
       check: Called with the complete response; raises ResponseLost if it can't
         be the response to this request. The connection is not reused then, as
         the next response on it may belong to this request.
+      stall_s: If given, the response need only begin by the deadline. It may
+        then take as long as its size needs, while no pause in it is longer than
+        this and it arrives at MIN_BYTES_PER_S at least.
 
     Raises:
       ConnectFailed: No connection could be opened; nothing was sent.
       ResponseLost: The response is missing or incomplete, or `check` raised it.
-      ResponseTimeout: No complete response arrived by the deadline.
+      ResponseTimeout: No complete response arrived in time.
       CallerDisconnected: The caller closed its connection.
     """
     conn = take_idle(client, address) or open_connection(
@@ -174,6 +198,8 @@
     )
     conn.sock.deadline_s = deadline_s
     conn.sock.bytes_left = MAX_RESPONSE_BYTES
+    conn.sock.stall_s = stall_s
+    conn.sock.begun_s = None
     reusable = False
     try:
         body_sent = write_request(
--- a/packages/relay/tests/test_http_client.py
+++ b/packages/relay/tests/test_http_client.py
@@ -128,6 +128,38 @@
             )
             self.assertIn(f"after {len(sent)} bytes", error.message)
 
+    def transfer(self, pieces: int, pause_s: float, size: int) -> bytes:
+        """Returns a body that arrives in pieces, past a deadline of 0.3 s."""
+        head = HEAD + b"Content-Length: %d\r\n\r\n" % (pieces * size)
+        server = Server(head, b"x" * size, pause_s)
+        self.addCleanup(server.close)
+        return http_client.send_request(
+            http_client.Client(1.0),
+            server.address,
+            "GET",
+            "/",
+            {"Host": server.address},
+            b"",
+            clock.boottime_s() + 0.3,
+            stall_s=0.5,
+        ).body
+
+    def test_response_that_makes_progress_outlasts_its_deadline(self):
+        # A large configuration on a full link was cut at a fixed time and began
+        # again from nothing.
+        body = self.transfer(pieces=12, pause_s=0.1, size=16_384)
+        self.assertEqual(12 * 16_384, len(body))
+
+    def test_response_that_pauses_or_is_too_slow_ends(self):
+        for pause_s, size in ((5.0, 16_384), (0.05, 100)):
+            self.assertRaises(
+                http_client.ResponseLost,
+                self.transfer,
+                1_000,
+                pause_s,
+                size,
+            )
+
     def test_long_response_within_the_limit_is_whole(self):
         body = b"x" * (http_client.MAX_RESPONSE_BYTES // 2)
         head = HEAD + b"Content-Length: %d\r\n\r\n" % len(body)
