Ask the other readers of a zone before the store

Cause: a follower that lost its reader fetched the value from the store next, in full, uncompressed and, after a failure, through two other daemons as well; the zone's other reader, which had the change, came last. Class of fault: the fallback is the most expensive path. Change: up to two other readers are asked first, without a wait, and the store after them. Evidence: test_another_reader_is_asked_before_the_store. On the sources before (with an argument of the stub made optional) it fails as the store, which has no change, is asked: (Change(...),) != (). The count of an older test rises from 4 to 6, as all three readers are asked again after AVOID_S, not one; it still pins the exact number.

--- a/packages/assignment/src/waxwinglever_assignment/readers.py
+++ b/packages/assignment/src/waxwinglever_assignment/readers.py
@@ -3,8 +3,8 @@
 If every node watched the store, each change would cost one call of the store
 for each node. Instead, a few nodes of each zone, its readers, watch the store,
 and the others (followers) ask one of them. A reader that may be out of date
-refuses the request. A follower whose reader fails watches the store once and
-then asks another reader.
+refuses the request. A follower whose reader fails asks others, and the store
+itself after that: its answer is large and counts as a call.
 """
 
 from collections.abc import Callable, Sequence
@@ -30,6 +30,9 @@
 # A reader is current while the last confirmation of its session is younger than
 # this. Sessions are confirmed twice a second.
 CURRENT_S = 1.0
+# Readers that are asked, without a wait, after the first one has failed. More
+# would delay the change by FOLLOWER_MARGIN_S each when all of them are lost.
+MAX_REPEATS = 2
 # A reader that has failed is not asked again for this long.
 AVOID_S = 3.0
 
@@ -44,7 +47,8 @@
       fleet: View of all members.
       store: The store, watched when there is no reader to ask.
       fetch_changes: Asks a reader for the changes of a prefix after a version
-        of an era; raises PeerUnavailable or HistoryCompacted.
+        of an era, for which the reader may wait some seconds; raises
+        PeerUnavailable or HistoryCompacted.
       must_watch_store: Returns whether this node must watch the store itself.
       log: Called with an event name and fields.
       now: Returns the time in seconds.
@@ -56,7 +60,9 @@
     zone: str
     fleet: fleet_view.FleetView
     store: leased.LeasedStoreClient
-    fetch_changes: Callable[[fleet_view.Member, str, int, int], leased.Changes]
+    fetch_changes: Callable[
+        [fleet_view.Member, str, int, int, float], leased.Changes
+    ]
     must_watch_store: Callable[[], bool]
     log: Callable[..., None]
     now: Callable[[], float] = clock.boottime_s
@@ -117,33 +123,60 @@
                 f" era {era}",
                 "list again",
             )
-        reader = choose_reader(follower)
-        log_reader_change(follower, reader.name if reader else "")
-        if reader is not None:
-            asked_s = follower.now()
+        reader_wait_s = FOLLOWER_WAIT_S
+        for _ in range(1 + MAX_REPEATS):
+            reader = choose_reader(follower)
+            log_reader_change(follower, reader.name if reader else "")
+            if reader is None:
+                break
             try:
-                return follower.fetch_changes(reader, prefix, version, era)
+                found = ask_reader(
+                    follower, reader, prefix, version, era, reader_wait_s
+                )
             except leased.HistoryCompacted:
                 # The store may have a longer history than the reader.
-                pass
-            except exceptions.PeerUnavailable as error:
-                follower.avoid_until_s[reader.name] = follower.now() + AVOID_S
-                follower.log(
-                    "reader-lost",
-                    reader=reader.name,
-                    prefix=prefix,
-                    version=version,
-                    taken_s=round(follower.now() - asked_s, 3),
-                    error=error.message,
-                )
-                # A watch that waits and is lost takes as long again at each
-                # daemon that repeats it; a full link lost it and the reader.
-                return follower.store.watch(prefix, version, 0.0, era)
+                break
+            if found is not None:
+                return found
+            # The lost reader may have hidden a change, and a watch that waits
+            # and is lost takes as long again at each daemon that repeats it.
+            reader_wait_s = wait_s = 0.0
         return follower.store.watch(prefix, version, wait_s, era)
 
     return watch_once
 
 
+def ask_reader(
+    follower: FollowerState,
+    reader: fleet_view.Member,
+    prefix: str,
+    version: int,
+    era: int,
+    wait_s: float,
+) -> leased.Changes | None:
+    """Returns the changes that a reader has, or None if it failed.
+
+    A reader that failed is not chosen again for AVOID_S.
+
+    Raises:
+      HistoryCompacted: The reader does not have all changes.
+    """
+    asked_s = follower.now()
+    try:
+        return follower.fetch_changes(reader, prefix, version, era, wait_s)
+    except exceptions.PeerUnavailable as error:
+        follower.avoid_until_s[reader.name] = follower.now() + AVOID_S
+        follower.log(
+            "reader-lost",
+            reader=reader.name,
+            prefix=prefix,
+            version=version,
+            taken_s=round(follower.now() - asked_s, 3),
+            error=error.message,
+        )
+        return None
+
+
 def log_reader_change(follower: FollowerState, name: str) -> None:
     """Records the reader in use and logs a change of it."""
     if name != follower.reader:
@@ -156,6 +189,7 @@
     replica: replicas.Replica,
     version: int,
     era: int,
+    wait_s: float,
 ) -> leased.Changes:
     """Waits for changes after a version, on behalf of a follower.
 
@@ -164,16 +198,17 @@
       replica: The copy whose changes the follower gets.
       version: Store version that the follower has.
       era: Era of the store that this version belongs to.
+      wait_s: How long to wait, at most FOLLOWER_WAIT_S.
 
     Returns:
-      The changes, none if there were none within FOLLOWER_WAIT_S.
+      The changes, none if there were none in time.
 
     Raises:
       StoreUnavailable: This node may be out of date.
       HistoryCompacted: Some of these changes are no longer in the history, or
         this node is in another era.
     """
-    end_s = session.now() + FOLLOWER_WAIT_S
+    end_s = session.now() + min(wait_s, FOLLOWER_WAIT_S)
     while True:
         if not is_current(session) or replica.disconnected:
             raise exceptions.StoreUnavailable(
@@ -185,7 +220,12 @@
                 f"node {session.member.name} has no changes of era {era}",
                 "watch the store",
             )
-        found = replicas.changes_after(replica, version, era, CHECK_S)
+        found = replicas.changes_after(
+            replica,
+            version,
+            era,
+            max(0.0, min(CHECK_S, end_s - session.now())),
+        )
         if found.changes or session.now() >= end_s:
             return found
 
--- a/packages/assignment/tests/test_readers.py
+++ b/packages/assignment/tests/test_readers.py
@@ -49,8 +49,9 @@
     def follower(self, name: str) -> readers.FollowerState:
         """Returns the state of a node that may follow a reader."""
 
-        def fetch_changes(reader, prefix, version, era):
-            self.requests.append((reader.name, prefix, version, era))
+        def fetch_changes(reader, prefix, version, era, wait_s):
+            del prefix, version, era
+            self.requests.append((reader.name, wait_s))
             return self.respond()
 
         return readers.FollowerState(
@@ -105,12 +106,43 @@
         self.write("p/1", b"1")
         for _ in range(5):
             self.assertEqual(1, len(watch("p/", version, 0.0, 1).changes))
-        # Each of the three readers was asked once.
-        self.assertEqual(3, len({name for name, *_ in self.requests}))
+        # Each of the three readers was asked once, before the store.
+        self.assertEqual(3, len({name for name, _ in self.requests}))
         self.assertEqual(3, len(self.requests))
         self.clock.now_s += readers.AVOID_S
         watch("p/", version, 0.0, 1)
-        self.assertEqual(4, len(self.requests))
+        self.assertEqual(6, len(self.requests))
+
+    def test_another_reader_is_asked_before_the_store(self):
+        # The store sends a large value uncompressed. On a full link that took
+        # 1.9 s, and then the other reader of the zone had it at once.
+        change = leased.Change("p/1", 7, None)
+        responses = [self.refuse, lambda: leased.Changes((change,), 7)]
+        self.respond = lambda: responses.pop(0)()
+        follower = self.follower("n20")
+        self.memory_store.calls.clear()
+        found = readers.watch(follower)("p/", 1, 2.0, 1)
+        self.assertEqual((change,), found.changes)
+        self.assertEqual([], self.memory_store.calls)
+        # A second wait would delay a change that the first reader hid.
+        self.assertEqual(
+            [readers.FOLLOWER_WAIT_S, 0.0], [wait for _, wait in self.requests]
+        )
+
+    def test_store_is_watched_after_several_lost_readers(self):
+        # Each reader that is lost delays the change.
+        for number in range(30, 100):
+            member = self.build.member(f"n{number}")
+            self.write(
+                fleet_view.entry_key(member.name),
+                fleet_view.encode_member(member),
+            )
+        replicas.apply_next_changes(self.node.replica)
+        self.respond = self.refuse
+        self.memory_store.calls.clear()
+        readers.watch(self.follower("n99"))("p/", 1, 2.0, 1)
+        self.assertEqual(1 + readers.MAX_REPEATS, len(self.requests))
+        self.assertEqual(["watch"], self.memory_store.calls)
 
     def test_watch_after_a_lost_reader_does_not_wait(self):
         # A lost watch of the store takes its wait and a margin, at this node
@@ -162,13 +194,13 @@
         self.write("waxwinglever/x", b"1")
         replicas.apply_next_changes(replica)
         self.assertRaises(
-            refused, readers.wait_for_changes, session, replica, version, 1
+            refused, readers.wait_for_changes, session, replica, version, 1, 0.8
         )
         sessions.confirm(session)
-        readers.wait_for_changes(session, replica, version, 1)
+        readers.wait_for_changes(session, replica, version, 1, 0.8)
         self.clock.now_s += readers.CURRENT_S
         self.assertRaises(
-            refused, readers.wait_for_changes, session, replica, version, 1
+            refused, readers.wait_for_changes, session, replica, version, 1, 0.8
         )
 
     def test_reader_confirmed_through_another_daemon_refuses(self):
@@ -183,4 +215,5 @@
             self.node.replica,
             0,
             1,
+            0.8,
         )
--- a/packages/hops/src/waxwinglever_hops/control.py
+++ b/packages/hops/src/waxwinglever_hops/control.py
@@ -35,6 +35,9 @@
 CLEARANCE_PATH = PATH + "word/"
 ERA_CLEARANCE_PATH = PATH + "eras/"
 CHANGES_PATH = PATH + "changes/"
+# Ends the path of a call for store changes that returns at once. Earlier
+# versions answer it with 404.
+NO_WAIT = "?wait=0"
 # Statuses that refuse a call for store changes: the history of this node does
 # not go back to the requested version, or its copy may be out of date.
 GONE_STATUS = 410
@@ -126,8 +129,13 @@
 
     Args:
       control: The state of the control calls.
-      query: ERA/VERSION/PREFIX; the prefix of the keys is percent-encoded.
+      query: ERA/VERSION/PREFIX, and NO_WAIT if the caller doesn't wait for
+        changes; the prefix of the keys is percent-encoded.
     """
+    wait_s = readers.FOLLOWER_WAIT_S
+    if query.endswith(NO_WAIT):
+        query = query.removesuffix(NO_WAIT)
+        wait_s = 0.0
     era, _, rest = query.partition("/")
     version, _, prefix = rest.partition("/")
     replica = control.replicas.get(urllib.parse.unquote(prefix))
@@ -135,7 +143,7 @@
         return server.HttpResponse(404, (), b"")
     try:
         changes = readers.wait_for_changes(
-            control.session, replica, int(version), int(era)
+            control.session, replica, int(version), int(era), wait_s
         )
     except leased.HistoryCompacted:
         return server.HttpResponse(GONE_STATUS, (), b"")
@@ -186,25 +194,30 @@
 
 def changes_client(
     client: http_client.Client,
-) -> Callable[[fleet_view.Member, str, int, int], leased.Changes]:
+) -> Callable[[fleet_view.Member, str, int, int, float], leased.Changes]:
     """Returns a function that requests changes of the store from a reader.
 
     A reader is a node that watches the store itself. The function takes the
-    reader, the prefix of the keys, the last known version and the era of the
-    store that this version belongs to. It raises HistoryCompacted if the reader
-    no longer has all changes or is in another era, and PeerUnavailable if the
-    reader is unreachable or may be out of date.
+    reader, the prefix of the keys, the last known version, the era of the store
+    that this version belongs to, and how long the reader waits for a change: 0
+    or FOLLOWER_WAIT_S. It raises HistoryCompacted if the reader no longer has
+    all changes or is in another era, and PeerUnavailable if the reader is
+    unreachable or may be out of date.
     """
 
     def fetch_changes(
-        reader: fleet_view.Member, prefix: str, version: int, era: int
+        reader: fleet_view.Member,
+        prefix: str,
+        version: int,
+        era: int,
+        wait_s: float,
     ) -> leased.Changes:
         path = f"{CHANGES_PATH}{era}/{version}/{urllib.parse.quote(prefix)}"
         response = control_request(
             client,
             reader.address,
-            path,
-            readers.FOLLOWER_WAIT_S + readers.FOLLOWER_MARGIN_S,
+            path if wait_s else path + NO_WAIT,
+            wait_s + readers.FOLLOWER_MARGIN_S,
             CHANGES_STALL_S,
         )
         if response.status == GONE_STATUS:
--- a/packages/hops/tests/test_control.py
+++ b/packages/hops/tests/test_control.py
@@ -98,7 +98,30 @@
         self.addCleanup(link.listener.close)
         fetch = control.changes_client(http_client.Client(1.0))
         reader = fleet_view.Member("n1", "1", link.address, "a", "ledger")
-        self.assertEqual(changes, fetch(reader, "op/", 1, 1))
+        self.assertEqual(changes, fetch(reader, "op/", 1, 1, 0.8))
+
+    def test_call_without_a_wait_returns_at_once(self):
+        # A follower that has lost a reader would wait again at the next one.
+        calls = []
+
+        def wait_for_changes(*args):
+            calls.append(args[2:])
+            return make_changes(b"x")
+
+        def control_request(_, __, path, *___, **____):
+            response = control.handle(endpoint, path)
+            return http_client.Response(response.status, (), response.body)
+
+        self.patch(readers, "wait_for_changes", wait_for_changes)
+        self.patch(control, "control_request", control_request)
+        endpoint = types.SimpleNamespace(
+            session=None, replicas={"op/": object()}
+        )
+        reader = fleet_view.Member("n1", "1", "127.0.0.1:1", "a", "ledger")
+        fetch = control.changes_client(None)
+        for wait_s in (readers.FOLLOWER_WAIT_S, 0.0):
+            fetch(reader, "op/", 4, 2, wait_s)
+        self.assertEqual([(4, 2, readers.FOLLOWER_WAIT_S), (4, 2, 0.0)], calls)
 
     def test_changes_of_any_size_arrive_unchanged(self):
         for routes in (0, 1, 1_550):
