Judge a reader by its own watch, not by its session

Cause: a reader was taken for current while its session was confirmed within 1 s. That holds while its watch hangs, for up to 7.8 s with repeats, and fails when one renewal is slow. A node that follows another one counted as well, so two nodes with different views of the members could follow each other. Class of fault: a copy looks current because something else is. Change: a copy records until when its watch of the store is not overdue; it answers 'no change' only until then, and never while it follows another node. Changes that it has are handed out in any case. Evidence: on a reader whose session is confirmed and whose copy is at version 1 answers 'no change' at store version 3 (script with the memory store).

--- a/packages/assignment/src/waxwinglever_assignment/readers.py
+++ b/packages/assignment/src/waxwinglever_assignment/readers.py
@@ -2,8 +2,8 @@
 
 If every node watched the store, each change would cost one call of the store
 for each node. Instead, a few nodes of each zone, its readers, watch the store,
-and the others (followers) ask one of them. A reader that may be out of date
-refuses the request. A follower whose reader fails asks others, and the store
+and the others (followers) ask one of them. A reader whose own watch is overdue
+refuses the request, and so does a node that follows another one. A follower whose reader fails asks others, and the store
 itself after that: its answer is large and counts as a call.
 """
 
@@ -13,7 +13,6 @@
 
 from waxwinglever_assignment import fleet_view
 from waxwinglever_assignment import replicas
-from waxwinglever_assignment import sessions
 from waxwinglever_model import clock
 from waxwinglever_model import exceptions
 from waxwinglever_store import leased
@@ -27,9 +26,9 @@
 FOLLOWER_MARGIN_S = 0.4
 # While a reader waits, it checks this often whether it is still current.
 CHECK_S = 0.2
-# A reader is current while the last confirmation of its session is younger than
-# this. Sessions are confirmed twice a second.
-CURRENT_S = 1.0
+# A copy is current for this long beyond the wait of its watch of the store. The
+# response of a watch that waits to its end is not there any sooner.
+CURRENT_MARGIN_S = 0.6
 # Readers that are asked, without a wait, after the first one has failed. More
 # would delay the change by FOLLOWER_MARGIN_S each when all of them are lost.
 MAX_REPEATS = 2
@@ -105,10 +104,10 @@
     return None
 
 
-def watch(follower: FollowerState) -> replicas.Watch:
-    """Returns a watch that asks a reader, or else watches the store.
+def watch(follower: FollowerState, replica: replicas.Replica) -> replicas.Watch:
+    """Returns a watch for a copy that asks a reader, or else watches the store.
 
-    The watch raises StoreUnavailable, StoreRestored and HistoryCompacted as
+    It records until when the copy is current. The watch raises StoreUnavailable, StoreRestored and HistoryCompacted as
     LeasedStoreClient.watch does.
     """
 
@@ -129,6 +128,7 @@
             log_reader_change(follower, reader.name if reader else "")
             if reader is None:
                 break
+            replica.current_until_s = float("-inf")
             try:
                 found = ask_reader(
                     follower, reader, prefix, version, era, reader_wait_s
@@ -141,6 +141,7 @@
             # The lost reader may have hidden a change, and a watch that waits
             # and is lost takes as long again at each daemon that repeats it.
             reader_wait_s = wait_s = 0.0
+        replica.current_until_s = follower.now() + wait_s + CURRENT_MARGIN_S
         return follower.store.watch(prefix, version, wait_s, era)
 
     return watch_once
@@ -185,16 +186,11 @@
 
 
 def wait_for_changes(
-    session: sessions.Session,
-    replica: replicas.Replica,
-    version: int,
-    era: int,
-    wait_s: float,
+    replica: replicas.Replica, version: int, era: int, wait_s: float
 ) -> leased.Changes:
     """Waits for changes after a version, on behalf of a follower.
 
     Args:
-      session: The session of this node.
       replica: The copy whose changes the follower gets.
       version: Store version that the follower has.
       era: Era of the store that this version belongs to.
@@ -204,34 +200,37 @@
       The changes, none if there were none in time.
 
     Raises:
-      StoreUnavailable: This node may be out of date.
+      StoreUnavailable: There are no changes here, but the copy may be out of
+        date.
       HistoryCompacted: Some of these changes are no longer in the history, or
         this node is in another era.
     """
-    end_s = session.now() + min(wait_s, FOLLOWER_WAIT_S)
+    end_s = replica.now() + min(wait_s, FOLLOWER_WAIT_S)
     while True:
-        if not is_current(session) or replica.disconnected:
-            raise exceptions.StoreUnavailable(
-                f"node {session.member.name} may be out of date",
-                "watch the store",
-            )
-        if replica.era != era or session.lease.era != replica.era:
+        if replica.store.era() != replica.era:
             raise leased.HistoryCompacted(
-                f"node {session.member.name} has no changes of era {era}",
+                f"this node has no changes of era {era} any more",
                 "watch the store",
             )
+        left_s = end_s - replica.now()
         found = replicas.changes_after(
-            replica,
-            version,
-            era,
-            max(0.0, min(CHECK_S, end_s - session.now())),
+            replica, version, era, max(0.0, min(CHECK_S, left_s))
         )
-        if found.changes or session.now() >= end_s:
+        if found.changes:
+            return found
+        if not is_current(replica):
+            raise exceptions.StoreUnavailable(
+                "the copy of this node may be out of date", "watch the store"
+            )
+        if replica.now() >= end_s:
             return found
 
 
-def is_current(session: sessions.Session) -> bool:
-    """Returns whether the store itself confirmed the session recently."""
-    return session.confirmed_directly and (
-        session.now() - session.confirmed_s < CURRENT_S
-    )
+def is_current(replica: replicas.Replica) -> bool:
+    """Returns whether a change in the store would have reached the copy.
+
+    That is so while a watch of the store itself is not overdue. A copy that
+    follows another node is never current: two nodes with different views of the
+    members might follow each other.
+    """
+    return not replica.disconnected and replica.now() < replica.current_until_s
--- a/packages/assignment/src/waxwinglever_assignment/replicas.py
+++ b/packages/assignment/src/waxwinglever_assignment/replicas.py
@@ -52,6 +52,8 @@
       revision: Incremented with each change of `items`.
       synced: Whether the prefix was read at least once.
       disconnected: Whether the last call failed.
+      current_until_s: Until when the watch that is in progress shows that the
+        copy has all changes; in the past if it doesn't watch the store itself.
       history: The latest changes in order.
       history_start: All changes after this version are in `history`.
       condition: Notified after each change.
@@ -72,6 +74,7 @@
     revision: int = 0
     synced: bool = False
     disconnected: bool = False
+    current_until_s: float = float("-inf")
     history: collections.deque[leased.Change] = attrs.Factory(collections.deque)
     history_start: int = 0
     condition: threading.Condition = attrs.Factory(threading.Condition)
--- a/packages/assignment/src/waxwinglever_assignment/sessions.py
+++ b/packages/assignment/src/waxwinglever_assignment/sessions.py
@@ -63,8 +63,6 @@
         store was started.
       must_read_entry: Whether the entry must be read from the store, because a
         call has failed since it was last read.
-      confirmed_directly: Whether the last confirmation came from the store
-        itself and not through another daemon.
       confirmation_failed: Whether the last confirmation failed.
       wake: Set when `member` changed or the thread must end.
       stopping: Set when the thread must end.
@@ -84,7 +82,6 @@
     confirmed_s: float = float("-inf")
     confirmations: dict[int, float] = attrs.Factory(dict)
     must_read_entry: bool = False
-    confirmed_directly: bool = False
     confirmation_failed: bool = False
     wake: threading.Event = attrs.Factory(threading.Event)
     stopping: threading.Event = attrs.Factory(threading.Event)
@@ -240,7 +237,6 @@
     else:
         session.store.renew(session.lease)
         check_entry(session)
-    session.confirmed_directly = session.store.is_direct()
     session.confirmed_s = began_s
     session.confirmations = session.confirmations | {session.lease.era: began_s}
 
--- a/packages/assignment/tests/test_readers.py
+++ b/packages/assignment/tests/test_readers.py
@@ -9,7 +9,6 @@
 from waxwinglever_assignment import fleet_view
 from waxwinglever_assignment import readers
 from waxwinglever_assignment import replicas
-from waxwinglever_assignment import sessions
 from waxwinglever_model import exceptions
 from waxwinglever_standins import memory_leased_store
 from waxwinglever_store import leased
@@ -100,7 +99,7 @@
 
     def test_failed_reader_is_replaced_by_the_store_and_another_reader(self):
         follower = self.follower("n20")
-        watch = readers.watch(follower)
+        watch = readers.watch(follower, self.node.replica)
         self.respond = self.refuse
         version = self.memory_store.version
         self.write("p/1", b"1")
@@ -121,7 +120,7 @@
         self.respond = lambda: responses.pop(0)()
         follower = self.follower("n20")
         self.memory_store.calls.clear()
-        found = readers.watch(follower)("p/", 1, 2.0, 1)
+        found = readers.watch(follower, self.node.replica)("p/", 1, 2.0, 1)
         self.assertEqual((change,), found.changes)
         self.assertEqual([], self.memory_store.calls)
         # A second wait would delay a change that the first reader hid.
@@ -140,7 +139,7 @@
         replicas.apply_next_changes(self.node.replica)
         self.respond = self.refuse
         self.memory_store.calls.clear()
-        readers.watch(self.follower("n99"))("p/", 1, 2.0, 1)
+        self.watch_of("n99")("p/", 1, 2.0, 1)
         self.assertEqual(1 + readers.MAX_REPEATS, len(self.requests))
         self.assertEqual(["watch"], self.memory_store.calls)
 
@@ -157,7 +156,7 @@
 
         follower = self.follower("n20")
         follower.store = attrs.evolve(self.store, watch=watch_store)
-        watch = readers.watch(follower)
+        watch = readers.watch(follower, self.node.replica)
         self.respond = self.refuse
         watch("p/", 1, 2.0, 1)
         self.is_planner = True
@@ -181,39 +180,72 @@
             raise leased.HistoryCompacted("gone", "none")
 
         self.respond = refuse
-        watch = readers.watch(self.follower("n20"))
+        watch = self.watch_of("n20")
         for _ in range(2):
             watch("p/", self.memory_store.version, 0.0, 1)
         self.assertEqual(2, len(self.requests))
 
-    def test_reader_serves_only_while_it_is_current(self):
-        session = self.node.session
+    def watch_of(self, name: str) -> replicas.Watch:
+        """Returns the watch of a node for the copy of this test."""
+        return readers.watch(self.follower(name), self.node.replica)
+
+    def ask(self, version: int) -> leased.Changes:
+        """Asks the node with the copy of this test for changes."""
+        return readers.wait_for_changes(self.node.replica, version, 1, 0.0)
+
+    def test_reader_with_an_overdue_watch_refuses(self):
+        # Its session may be confirmed all the while. It answered "no change" to
+        # its followers for as long as its own watch hung.
         replica = self.node.replica
-        refused = exceptions.StoreUnavailable
-        version = replica.version
-        self.write("waxwinglever/x", b"1")
-        replicas.apply_next_changes(replica)
         self.assertRaises(
-            refused, readers.wait_for_changes, session, replica, version, 1, 0.8
+            exceptions.StoreUnavailable, self.ask, replica.version
         )
-        sessions.confirm(session)
-        readers.wait_for_changes(session, replica, version, 1, 0.8)
-        self.clock.now_s += readers.CURRENT_S
+        self.watch_of("n00")(replica.prefix, replica.version, 0.0, 1)
+        self.assertEqual((), self.ask(replica.version).changes)
+        self.clock.now_s += readers.CURRENT_MARGIN_S
         self.assertRaises(
-            refused, readers.wait_for_changes, session, replica, version, 1, 0.8
+            exceptions.StoreUnavailable, self.ask, replica.version
         )
 
-    def test_reader_confirmed_through_another_daemon_refuses(self):
-        # Its own watch may hang on a broken connection.
-        session = self.node.session
-        sessions.confirm(session)
-        session.confirmed_directly = False
+    def test_reader_is_current_for_the_wait_of_its_watch(self):
+        # Refusals made all followers of a reader turn to the store at once.
+        replica = self.node.replica
+        ages = []
+
+        def watch_store(prefix, version, wait_s, era):
+            del prefix, era
+            self.clock.now_s += wait_s
+            ages.append(readers.is_current(replica))
+            return leased.Changes((), version)
+
+        follower = self.follower("n00")
+        follower.store = attrs.evolve(self.store, watch=watch_store)
+        readers.watch(follower, replica)(replica.prefix, 1, 2.0, 1)
+        self.assertEqual([True], ages)
+
+    def test_node_that_follows_another_one_is_no_reader(self):
+        # Two nodes with different views of the members, for example while one
+        # is leaving, could follow each other and never see a change.
+        replica = self.node.replica
+        self.watch_of("n00")(replica.prefix, replica.version, 5.0, 1)
+        self.assertTrue(readers.is_current(replica))
+        self.watch_of("n20")(replica.prefix, replica.version, 5.0, 1)
         self.assertRaises(
-            exceptions.StoreUnavailable,
-            readers.wait_for_changes,
-            session,
-            self.node.replica,
-            0,
-            1,
-            0.8,
+            exceptions.StoreUnavailable, self.ask, replica.version
         )
+
+    def test_changes_are_handed_out_by_any_copy_that_has_them(self):
+        replica = self.node.replica
+        version = replica.version
+        self.write("waxwinglever/x", b"1")
+        replicas.apply_next_changes(replica)
+        self.assertFalse(readers.is_current(replica))
+        self.assertEqual(1, len(self.ask(version).changes))
+
+    def test_reader_that_has_noticed_a_restore_has_no_changes(self):
+        # Its copy is of the era before until it is read anew.
+        replica = self.node.replica
+        copy = memory_leased_store.copy_store(self.memory_store)
+        memory_leased_store.restore_store(self.memory_store, copy)
+        replica.store.get("x")
+        self.assertRaises(leased.HistoryCompacted, self.ask, replica.version)
--- a/packages/hops/src/waxwinglever_hops/control.py
+++ b/packages/hops/src/waxwinglever_hops/control.py
@@ -20,7 +20,6 @@
 from waxwinglever_assignment import promises
 from waxwinglever_assignment import readers
 from waxwinglever_assignment import replicas
-from waxwinglever_assignment import sessions
 from waxwinglever_hops import server
 from waxwinglever_model import clock
 from waxwinglever_model import exceptions
@@ -64,7 +63,6 @@
       local_delivery: Deliveries to the local backend server, whose load is
         reported.
       promises: Promises that this node has made to owners.
-      session: The session of this node in the store.
       replicas: Copies of the store by prefix, for nodes that get its changes
         from this one.
       log: Called with an event name and fields.
@@ -72,7 +70,6 @@
 
     local_delivery: delivery.LocalDelivery
     promises: promises.VoterState
-    session: sessions.Session
     replicas: Mapping[str, replicas.Replica]
     log: Callable[..., None]
 
@@ -143,7 +140,7 @@
         return server.HttpResponse(404, (), b"")
     try:
         changes = readers.wait_for_changes(
-            control.session, replica, int(version), int(era), wait_s
+            replica, int(version), int(era), wait_s
         )
     except leased.HistoryCompacted:
         return server.HttpResponse(GONE_STATUS, (), b"")
--- a/packages/hops/tests/test_control.py
+++ b/packages/hops/tests/test_control.py
@@ -105,7 +105,7 @@
         calls = []
 
         def wait_for_changes(*args):
-            calls.append(args[2:])
+            calls.append(args[1:])
             return make_changes(b"x")
 
         def control_request(_, __, path, *___, **____):
@@ -114,9 +114,7 @@
 
         self.patch(readers, "wait_for_changes", wait_for_changes)
         self.patch(control, "control_request", control_request)
-        endpoint = types.SimpleNamespace(
-            session=None, replicas={"op/": object()}
-        )
+        endpoint = types.SimpleNamespace(replicas={"op/": object()})
         reader = fleet_view.Member("n1", "1", "127.0.0.1:1", "a", "ledger")
         fetch = control.changes_client(None)
         for wait_s in (readers.FOLLOWER_WAIT_S, 0.0):
