--- a/packages/assignment/src/waxwinglever_assignment/replicas.py
+++ b/packages/assignment/src/waxwinglever_assignment/replicas.py
@@ -15,8 +15,9 @@
 from waxwinglever_store import leased
 
 # A dead connection is noticed only when a watch doesn't return in time, so this
-# bounds how long it can hide a change.
-WATCH_S = 2.0
+# and the time allowed for its response bound how long it can hide a change. The
+# platform allows 2 s until a configuration is active.
+WATCH_S = 1.0
 RETRY_S = 0.1
 RETRY_MAX_S = 0.4
 # Pause after a change before the next watch. Without it, each change of a burst
