Wait for handshakes and answers on a full link

Cause: sidecar-merkato-19 had a link on which packets waited for over 0.3 s. From 20.04 s on it opened no connection to either reader or to the store within the 0.3 s for a handshake, closed what it had after each failure, and, with both readers avoided, asked only the store, whose full value filled the link further. It was 8.4 s without a change. Class of fault: a fixed time that is right for an idle link. Change: store changes and lists have 0.6 s for a handshake, which is added to the deadline, and 0.6 s in place of 0.4 s for the reader's answer to begin. One other reader is asked in place of two, so that the bounds still fit. After the store has failed too, readers are asked again at once.

--- a/packages/assignment/src/waxwinglever_assignment/readers.py
+++ b/packages/assignment/src/waxwinglever_assignment/readers.py
@@ -22,8 +22,9 @@
 # How long a reader waits for a change before it answers a follower. A reader
 # that stops answering delays its followers by FOLLOWER_WAIT_S +
 # FOLLOWER_MARGIN_S; the platform allows 2 s until a configuration is active.
+# Packets wait for over half a second on a link that is full of bodies.
 FOLLOWER_WAIT_S = 0.8
-FOLLOWER_MARGIN_S = 0.4
+FOLLOWER_MARGIN_S = 0.6
 # While a reader waits, it checks this often whether it is still current.
 CHECK_S = 0.2
 # A copy is current for this long beyond the wait of its watch of the store. The
@@ -31,7 +32,7 @@
 CURRENT_MARGIN_S = 0.6
 # Readers that are asked, without a wait, after the first one has failed. More
 # would delay the change by FOLLOWER_MARGIN_S each when all of them are lost.
-MAX_REPEATS = 2
+MAX_REPEATS = 1
 # A reader that has failed is not asked again for this long.
 AVOID_S = 3.0
 
@@ -142,7 +143,13 @@
             # and is lost takes as long again at each daemon that repeats it.
             reader_wait_s = wait_s = 0.0
         replica.current_until_s = follower.now() + wait_s + CURRENT_MARGIN_S
-        return follower.store.watch(prefix, version, wait_s, era)
+        try:
+            return follower.store.watch(prefix, version, wait_s, era)
+        except exceptions.StoreUnavailable:
+            # The link of this node may be full, so that all paths fail alike. A
+            # reader's answer is smaller than that of the store.
+            follower.avoid_until_s.clear()
+            raise
 
     return watch_once
 
--- a/packages/hops/src/waxwinglever_hops/control.py
+++ b/packages/hops/src/waxwinglever_hops/control.py
@@ -53,6 +53,10 @@
 # How long a response with store changes may pause once it has begun. Packets
 # wait for over half a second on a link that is full of bodies.
 CHANGES_STALL_S = 1.0
+# Time to open a connection for store changes. The one for requests is shorter,
+# as another node may serve them; on a link that is full it is too short for
+# every node, so that a node without a connection learned of no change.
+CHANGES_CONNECT_TIMEOUT_S = 0.6
 
 
 @attrs.define(eq=False)
@@ -216,6 +220,7 @@
             path if wait_s else path + NO_WAIT,
             wait_s + readers.FOLLOWER_MARGIN_S,
             CHANGES_STALL_S,
+            CHANGES_CONNECT_TIMEOUT_S,
         )
         if response.status == GONE_STATUS:
             raise leased.HistoryCompacted(
@@ -250,6 +255,7 @@
     path: str,
     timeout_s: float,
     stall_s: float | None = None,
+    connect_timeout_s: float | None = None,
 ) -> http_client.Response:
     """Sends a control call to another daemon and returns its response.
 
@@ -259,6 +265,7 @@
       path: Path of the call.
       timeout_s: How long to wait for the response.
       stall_s: See http_client.send_request.
+      connect_timeout_s: See http_client.send_request.
 
     Raises:
       PeerUnavailable: No response arrived in time.
@@ -273,6 +280,7 @@
             b"",
             clock.boottime_s() + timeout_s,
             stall_s=stall_s,
+            connect_timeout_s=connect_timeout_s,
         )
     except (http_client.ConnectFailed, http_client.ResponseLost) as error:
         http_client.close_idle(client, address)
--- a/packages/hops/tests/test_control.py
+++ b/packages/hops/tests/test_control.py
@@ -7,6 +7,8 @@
 
 import msgspec
 import testtools
+import urllib3
+from urllib3 import connection
 
 from waxwinglever_assignment import fleet_view
 from waxwinglever_assignment import promises
@@ -100,6 +102,26 @@
         reader = fleet_view.Member("n1", "1", link.address, "a", "ledger")
         self.assertEqual(changes, fetch(reader, "op/", 1, 1, 0.8))
 
+    def test_handshake_on_a_full_link_is_waited_for(self):
+        # A node whose packets wait for 0.5 s could open no connection to any
+        # reader within 0.3 s, and learned of no change for 8 s.
+        handshake_s = 0.5
+        connect = connection.HTTPConnection.connect
+
+        def connect_slowly(conn):
+            if conn.timeout < handshake_s:
+                raise urllib3.exceptions.ConnectTimeoutError()
+            time.sleep(handshake_s)
+            connect(conn)
+
+        self.patch(connection.HTTPConnection, "connect", connect_slowly)
+        changes = make_changes(b"x")
+        link = FullLink(self.send(changes), readers.FOLLOWER_WAIT_S)
+        self.addCleanup(link.listener.close)
+        fetch = control.changes_client(http_client.Client(0.3))
+        reader = fleet_view.Member("n1", "1", link.address, "a", "ledger")
+        self.assertEqual(changes, fetch(reader, "op/", 1, 1, 0.8))
+
     def test_call_without_a_wait_returns_at_once(self):
         # A follower that has lost a reader would wait again at the next one.
         calls = []
--- a/packages/relay/src/waxwinglever_relay/http_client.py
+++ b/packages/relay/src/waxwinglever_relay/http_client.py
@@ -168,6 +168,7 @@
     caller: messages.CallerConnection | None = None,
     check: Callable[[Response], None] = lambda _: None,
     stall_s: float | None = None,
+    connect_timeout_s: float | None = None,
 ) -> Response:
     """Sends a request and returns its complete response.
 
@@ -186,6 +187,8 @@
       stall_s: If given, the response need only begin by the deadline. It may
         then take as long as its size needs, while no pause in it is longer than
         this and it arrives at MIN_BYTES_PER_S at least.
+      connect_timeout_s: If given, the time to open a connection, in place of
+        the pool's. The time that it takes is added to the deadline.
 
     Raises:
       ConnectFailed: No connection could be opened; nothing was sent.
@@ -193,9 +196,14 @@
       ResponseTimeout: No complete response arrived in time.
       CallerDisconnected: The caller closed its connection.
     """
-    conn = take_idle(client, address) or open_connection(
-        client, address, deadline_s
-    )
+    conn = take_idle(client, address)
+    if conn is None and connect_timeout_s is None:
+        timeout_s = min(client.connect_timeout_s, remaining_s(deadline_s))
+        conn = open_connection(client, address, timeout_s)
+    elif conn is None:
+        started_s = clock.boottime_s()
+        conn = open_connection(client, address, connect_timeout_s)
+        deadline_s += clock.boottime_s() - started_s
     conn.sock.deadline_s = deadline_s
     conn.sock.bytes_left = MAX_RESPONSE_BYTES
     conn.sock.stall_s = stall_s
@@ -239,7 +247,7 @@
 
 
 def open_connection(
-    client: Client, address: str, deadline_s: float
+    client: Client, address: str, timeout_s: float
 ) -> connection.HTTPConnection:
     """Opens a connection.
 
@@ -247,7 +255,6 @@
       ConnectFailed: The connection could not be opened in time.
     """
     host, _, port = address.rpartition(":")
-    timeout_s = min(client.connect_timeout_s, remaining_s(deadline_s))
     conn = connection.HTTPConnection(
         host, int(port), timeout=timeout_s, socket_options=SOCKET_OPTIONS
     )
