--- a/packages/relay/src/waxwinglever_relay/routes.py
+++ b/packages/relay/src/waxwinglever_relay/routes.py
@@ -1,5 +1,6 @@
 """Routing configuration: routes by host and path, services and limits."""
 
+import math
 import threading
 from collections.abc import Mapping
 
@@ -12,12 +13,18 @@
 KINDS = (SAFE, UNSAFE, UPLOAD)
 
 
+def is_finite(_, attribute: attrs.Attribute, value: float) -> None:
+    """Validates that a number is finite; raises ValueError."""
+    if not math.isfinite(value):
+        raise ValueError(f"{attribute.name!r} must be finite, not {value}")
+
+
 @attrs.frozen
 class TrafficShare:
     """Share of a route's requests that goes to a service."""
 
     service: str
-    weight: float = attrs.field(validator=attrs.validators.ge(0))
+    weight: float = attrs.field(validator=[is_finite, attrs.validators.ge(0)])
 
 
 @attrs.frozen
@@ -42,8 +49,10 @@
     shares: tuple[TrafficShare, ...] = attrs.field(
         validator=attrs.validators.min_len(1)
     )
-    timeout_s: float = attrs.field(validator=attrs.validators.gt(0))
-    target_s: float = attrs.field(validator=attrs.validators.gt(0))
+    timeout_s: float = attrs.field(
+        validator=[is_finite, attrs.validators.gt(0)]
+    )
+    target_s: float = attrs.field(validator=[is_finite, attrs.validators.gt(0)])
     priority: int
     max_attempts: int = attrs.field(validator=attrs.validators.ge(1))
 
@@ -74,9 +83,11 @@
       idle_timeout_s: How long an idle connection stays open.
     """
 
-    header_bytes: int
-    body_bytes: int
-    idle_timeout_s: float
+    header_bytes: int = attrs.field(validator=attrs.validators.gt(0))
+    body_bytes: int = attrs.field(validator=attrs.validators.ge(0))
+    idle_timeout_s: float = attrs.field(
+        validator=[is_finite, attrs.validators.gt(0)]
+    )
 
 
 @attrs.frozen
