Take no large change from the store while a reader has it

Cause: the store's answer to a follower that has lost its readers holds every value since the follower's version, 413 KB each in base64. Since transfers are not cut any more, it was read to its end, for 3.7 s and 8 s on a full link, while the readers had the change in 41 KB. Class of fault: the fallback is the most expensive path. Change: the store is asked for an answer of up to 64 KB first. A larger one is not read; it shows that there is a change and that the link works, so the readers are asked once more, and the store's answer is read only if they fail again.

--- a/packages/assignment/src/waxwinglever_assignment/readers.py
+++ b/packages/assignment/src/waxwinglever_assignment/readers.py
@@ -3,8 +3,9 @@
 If every node watched the store, each change would cost one call of the store
 for each node. Instead, a few nodes of each zone, its readers, watch the store,
 and the others (followers) ask one of them. A reader whose own watch is overdue
-refuses the request, and so does a node that follows another one. A follower whose reader fails asks others, and the store
-itself after that: its answer is large and counts as a call.
+refuses the request, and so does a node that follows another one. A follower
+whose reader fails asks another one, and the store itself after that: its answer
+is large and counts as a call.
 """
 
 from collections.abc import Callable, Sequence
@@ -108,7 +109,8 @@
 def watch(follower: FollowerState, replica: replicas.Replica) -> replicas.Watch:
     """Returns a watch for a copy that asks a reader, or else watches the store.
 
-    It records until when the copy is current. The watch raises StoreUnavailable, StoreRestored and HistoryCompacted as
+    It records until when the copy is current. The watch raises
+    StoreUnavailable, StoreRestored and HistoryCompacted as
     LeasedStoreClient.watch does.
     """
 
@@ -123,37 +125,82 @@
                 f" era {era}",
                 "list again",
             )
-        reader_wait_s = FOLLOWER_WAIT_S
-        for _ in range(1 + MAX_REPEATS):
-            reader = choose_reader(follower)
-            log_reader_change(follower, reader.name if reader else "")
-            if reader is None:
-                break
-            replica.current_until_s = float("-inf")
-            try:
-                found = ask_reader(
-                    follower, reader, prefix, version, era, reader_wait_s
+        try:
+            if choose_reader(follower) is not None:
+                replica.current_until_s = float("-inf")
+                found = ask_readers(
+                    follower, prefix, version, era, FOLLOWER_WAIT_S
                 )
-            except leased.HistoryCompacted:
-                # The store may have a longer history than the reader.
-                break
-            if found is not None:
+                if found is None:
+                    found = catch_up(follower, prefix, version, era)
                 return found
-            # The lost reader may have hidden a change, and a watch that waits
-            # and is lost takes as long again at each daemon that repeats it.
-            reader_wait_s = wait_s = 0.0
+        except leased.HistoryCompacted:
+            # The store may have a longer history than the reader.
+            pass
+        log_reader_change(follower, "")
         replica.current_until_s = follower.now() + wait_s + CURRENT_MARGIN_S
-        try:
-            return follower.store.watch(prefix, version, wait_s, era)
-        except exceptions.StoreUnavailable:
-            # The link of this node may be full, so that all paths fail alike. A
-            # reader's answer is smaller than that of the store.
-            follower.avoid_until_s.clear()
-            raise
+        return follower.store.watch(prefix, version, wait_s, era)
 
     return watch_once
 
 
+def ask_readers(
+    follower: FollowerState, prefix: str, version: int, era: int, wait_s: float
+) -> leased.Changes | None:
+    """Returns the changes that a reader has, or None if several failed.
+
+    Only the first reader waits for a change, up to `wait_s`: it may have hidden
+    one if it fails.
+
+    Raises:
+      HistoryCompacted: A reader does not have all changes.
+    """
+    for _ in range(1 + MAX_REPEATS):
+        reader = choose_reader(follower)
+        if reader is None:
+            return None
+        log_reader_change(follower, reader.name)
+        found = ask_reader(follower, reader, prefix, version, era, wait_s)
+        if found is not None:
+            return found
+        wait_s = 0.0
+    return None
+
+
+def catch_up(
+    follower: FollowerState, prefix: str, version: int, era: int
+) -> leased.Changes:
+    """Returns the changes that readers may have hidden which have failed.
+
+    The store's answer is uncompressed and has every value since the version. A
+    large one would fill a slow link for seconds, so the readers are asked for
+    it once more: the link may have been the reason why they failed.
+
+    Raises:
+      HistoryCompacted: Neither a reader nor the store has all changes.
+      StoreUnavailable: The store did not answer.
+    """
+    try:
+        try:
+            return follower.store.watch_small(prefix, version, era)
+        except leased.AnswerTooLarge as error:
+            follower.log(
+                "store-answer-too-large",
+                prefix=prefix,
+                version=version,
+                error=error.message,
+            )
+            follower.avoid_until_s.clear()
+            found = ask_readers(follower, prefix, version, era, 0.0)
+            if found is not None and found.changes:
+                return found
+            return follower.store.watch(prefix, version, 0.0, era)
+    except exceptions.StoreUnavailable:
+        # All paths may fail alike because the link of this node is full.
+        follower.avoid_until_s.clear()
+        raise
+
+
 def ask_reader(
     follower: FollowerState,
     reader: fleet_view.Member,
--- a/packages/assignment/tests/test_readers.py
+++ b/packages/assignment/tests/test_readers.py
@@ -117,7 +117,11 @@
         # 1.9 s, and then the other reader of the zone had it at once.
         change = leased.Change("p/1", 7, None)
         responses = [self.refuse, lambda: leased.Changes((change,), 7)]
-        self.respond = lambda: responses.pop(0)()
+
+        def respond():
+            return responses.pop(0)()
+
+        self.respond = respond
         follower = self.follower("n20")
         self.memory_store.calls.clear()
         found = readers.watch(follower, self.node.replica)("p/", 1, 2.0, 1)
@@ -155,19 +159,45 @@
             )
             self.assertEqual(asked, len(self.requests))
 
+    def test_large_change_comes_from_a_reader_although_all_had_failed(self):
+        # Every configuration since the version, 1.2 MB, took 8 s from the store
+        # on a full link; a reader's answer has 41 KB.
+        change = leased.Change("p/large", 9, None)
+        responses = [self.refuse, self.refuse]
+        self.respond = lambda: (
+            responses.pop()() if responses else leased.Changes((change,), 9)
+        )
+        version = self.memory_store.version
+        self.write("p/large", b"x" * (leased.SMALL_ANSWER_BYTES + 1))
+        found = self.watch_of("n20")("p/", version, 2.0, 1)
+        self.assertEqual((change,), found.changes)
+
+    def test_large_change_comes_from_the_store_if_no_reader_has_it(self):
+        self.respond = self.refuse
+        version = self.memory_store.version
+        self.write("p/large", b"x" * (leased.SMALL_ANSWER_BYTES + 1))
+        found = self.watch_of("n20")("p/", version, 2.0, 1)
+        self.assertEqual(["p/large"], [c.key for c in found.changes])
+        self.assertEqual(4, len(self.requests))
+
     def test_watch_after_a_lost_reader_does_not_wait(self):
         # A lost watch of the store takes its wait and a margin, at this node
         # and at each daemon that repeats it; a follower whose reader failed was
         # without changes for 8.7 s.
         waits = []
 
+        def watch_small(prefix, version, era):
+            return watch_store(prefix, version, 0.0, era)
+
         def watch_store(prefix, version, wait_s, era):
             del prefix, era
             waits.append(wait_s)
             return leased.Changes((), version)
 
         follower = self.follower("n20")
-        follower.store = attrs.evolve(self.store, watch=watch_store)
+        follower.store = attrs.evolve(
+            self.store, watch=watch_store, watch_small=watch_small
+        )
         watch = readers.watch(follower, self.node.replica)
         self.respond = self.refuse
         watch("p/", 1, 2.0, 1)
--- a/packages/relay/src/waxwinglever_relay/http_client.py
+++ b/packages/relay/src/waxwinglever_relay/http_client.py
@@ -62,8 +62,14 @@
     kind = "answer-lost"
 
 
+class ResponseTooLarge(ResponseLost):
+    """The response is larger than the caller takes; it was not read."""
+
+    kind = "answer-too-large"
+
+
 class ResponseTooLong(OSError):
-    """The response has more than MAX_RESPONSE_BYTES."""
+    """The response has more bytes than the caller takes."""
 
 
 class ResponseTimeout(ResponseLost):
@@ -94,6 +100,7 @@
       deadline_s: When reads fail with TimeoutError, on the boot clock.
       bytes_left: Bytes that may still be read before reads fail with
         ResponseTooLong.
+      max_bytes: How many bytes the response may have.
       stall_s: How long a response that has begun may pause; extends the
         deadline. None if the deadline is fixed.
       begun_s: When the response began, or None.
@@ -101,6 +108,7 @@
 
     deadline_s: float = float("inf")
     bytes_left: int = 0
+    max_bytes: int = 0
     stall_s: float | None = None
     begun_s: float | None = None
 
@@ -113,9 +121,7 @@
         count = super().recv_into(*args)
         self.bytes_left -= count
         if self.bytes_left < 0:
-            raise ResponseTooLong(
-                f"the response exceeds {MAX_RESPONSE_BYTES} bytes"
-            )
+            raise ResponseTooLong("the response exceeds its limit")
         if self.stall_s is not None:
             self.extend_deadline(self.stall_s)
         return count
@@ -125,7 +131,7 @@
         now_s = clock.boottime_s()
         if self.begun_s is None:
             self.begun_s = now_s
-        received = MAX_RESPONSE_BYTES - self.bytes_left
+        received = self.max_bytes - self.bytes_left
         latest_s = self.begun_s + stall_s + received / MIN_BYTES_PER_S
         self.deadline_s = max(self.deadline_s, min(now_s + stall_s, latest_s))
 
@@ -169,6 +175,7 @@
     check: Callable[[Response], None] = lambda _: None,
     stall_s: float | None = None,
     connect_timeout_s: float | None = None,
+    max_bytes: int = MAX_RESPONSE_BYTES,
 ) -> Response:
     """Sends a request and returns its complete response.
 
@@ -189,11 +196,13 @@
         this and it arrives at MIN_BYTES_PER_S at least.
       connect_timeout_s: If given, the time to open a connection, in place of
         the pool's. The time that it takes is added to the deadline.
+      max_bytes: How many bytes the response may have, head included.
 
     Raises:
       ConnectFailed: No connection could be opened; nothing was sent.
       ResponseLost: The response is missing or incomplete, or `check` raised it.
       ResponseTimeout: No complete response arrived in time.
+      ResponseTooLarge: The response has more than `max_bytes`.
       CallerDisconnected: The caller closed its connection.
     """
     conn = take_idle(client, address)
@@ -205,7 +214,7 @@
         conn = open_connection(client, address, connect_timeout_s)
         deadline_s += clock.boottime_s() - started_s
     conn.sock.deadline_s = deadline_s
-    conn.sock.bytes_left = MAX_RESPONSE_BYTES
+    conn.sock.bytes_left = conn.sock.max_bytes = max_bytes
     conn.sock.stall_s = stall_s
     conn.sock.begun_s = None
     reusable = False
@@ -215,6 +224,7 @@
         )
         wait_readable(conn.sock, caller, deadline_s)
         response = conn.getresponse()
+        check_length(response, max_bytes)
         complete = Response(
             response.status,
             tuple((n.lower(), v) for n, v in response.headers.items()),
@@ -223,6 +233,11 @@
         check(complete)
         reusable = body_sent and can_reuse(response, method)
         return complete
+    except ResponseTooLong as error:
+        raise ResponseTooLarge(
+            f"{address} sent more than {max_bytes} bytes",
+            "ask for less",
+        ) from error
     except TimeoutError as error:
         raise ResponseTimeout(
             f"{address} did not answer in time, after"
@@ -271,9 +286,16 @@
     return conn
 
 
+def check_length(response: urllib3.HTTPResponse, max_bytes: int) -> None:
+    """Raises ResponseTooLong if the head names more bytes than may be read."""
+    length = response.headers.get("Content-Length", "")
+    if length.isdigit() and int(length) > max_bytes:
+        raise ResponseTooLong(f"the body has {length} bytes")
+
+
 def received_bytes(conn: connection.HTTPConnection) -> int:
     """Returns how much of the current response has arrived, head included."""
-    return MAX_RESPONSE_BYTES - conn.sock.bytes_left if conn.sock else 0
+    return conn.sock.max_bytes - conn.sock.bytes_left if conn.sock else 0
 
 
 def remaining_s(deadline_s: float) -> float:
--- a/packages/standins/src/waxwinglever_standins/memory_leased_store.py
+++ b/packages/standins/src/waxwinglever_standins/memory_leased_store.py
@@ -119,6 +119,15 @@
             check_era(era)
             return leased.Changes(matching_changes(), max(after, store.version))
 
+    def watch_small(prefix: str, after: int, era: int) -> leased.Changes:
+        found = watch(prefix, after, 0.0, era)
+        size = sum(len(c.item.value) for c in found.changes if c.item)
+        if size > leased.SMALL_ANSWER_BYTES:
+            raise leased.AnswerTooLarge(
+                f"the changes have {size} bytes", "ask another node for them"
+            )
+        return found
+
     def commit(
         expected: Mapping[str, int],
         writes: Iterable[leased.Write],
@@ -165,6 +174,7 @@
         get,
         list_prefix,
         watch,
+        watch_small,
         commit,
         open_lease,
         renew,
--- a/packages/store/src/waxwinglever_store/leased.py
+++ b/packages/store/src/waxwinglever_store/leased.py
@@ -14,6 +14,8 @@
 NO_LEASE = 0
 # Expected version of a key that must not exist.
 ABSENT = 0
+# A tenth of a second on a link of 5 Mbit/s.
+SMALL_ANSWER_BYTES = 65_536
 
 
 class LeaseExpired(exceptions.WaxwingleverError):
@@ -22,6 +24,12 @@
     kind = "lease-ended"
 
 
+class AnswerTooLarge(exceptions.WaxwingleverError):
+    """The answer has more than SMALL_ANSWER_BYTES and was not read."""
+
+    kind = "answer-too-large"
+
+
 class HistoryCompacted(exceptions.WaxwingleverError):
     """The store no longer has all changes after the given version."""
 
@@ -139,6 +147,8 @@
         empty Changes after a timeout. The arguments are the prefix of the
         keys, the version, the timeout in seconds and the era of the version.
         Raises HistoryCompacted if the version is too old.
+      watch_small: Returns the Changes after a version of an era at once, as
+        `watch` does. Raises AnswerTooLarge if they are large.
       commit: Runs a transaction and returns the new version. The arguments are
         the expected versions of keys (ABSENT for a key that must not exist),
         the writes, the keys to remove and the era of the versions and leases.
@@ -155,6 +165,7 @@
     get: Callable[[str], Item | None]
     list_prefix: Callable[[str], Listing]
     watch: Callable[[str, int, float, int], Changes]
+    watch_small: Callable[[str, int, int], Changes]
     commit: Callable[
         [Mapping[str, int], Iterable[Write], Iterable[str], int], int
     ]
