Bound the history of a copy in bytes

Callers would see: a daemon that is killed for its memory, and then no change from that reader. Cause: a copy keeps the last 512 changes for its followers, whatever their size; 512 configurations of 310 KB are 158 MB. Change: the history also ends at 8 MiB of values. Evidence: test_history_of_large_values_is_bounded_in_bytes fails on the code before (it keeps all of 20 MB) and passes.

--- a/packages/assignment/src/waxwinglever_assignment/replicas.py
+++ b/packages/assignment/src/waxwinglever_assignment/replicas.py
@@ -26,6 +26,9 @@
 # Changes that are kept for followers; one that has missed more must read
 # the store.
 MAX_HISTORY = 512
+# The history also ends here: 512 configurations of 310 KB would take 158 MB,
+# and the smallest VMs have 200 MB.
+MAX_HISTORY_BYTES = 8 * 1024 * 1024
 
 Watch = Callable[[str, int, float, int], leased.Changes]
 
@@ -56,6 +59,7 @@
       current_until_s: Until when the watch that is in progress shows that the
         copy has all changes; in the past if it doesn't watch the store itself.
       history: The latest changes in order.
+      history_bytes: Size of their values.
       history_start: All changes after this version are in `history`.
       condition: Notified after each change.
       stopping: Set when the thread must end.
@@ -77,6 +81,7 @@
     disconnected: bool = False
     current_until_s: float = float("-inf")
     history: collections.deque[leased.Change] = attrs.Factory(collections.deque)
+    history_bytes: int = 0
     history_start: int = 0
     condition: threading.Condition = attrs.Factory(threading.Condition)
     stopping: threading.Event = attrs.Factory(threading.Event)
@@ -169,6 +174,7 @@
         replica.era_seen_s = replica.now()
         replica.restored = True
         replica.history.clear()
+        replica.history_bytes = 0
         replica.history_start = listing.version
         set_items(
             replica,
@@ -238,13 +244,24 @@
         replica.items = items
         replica.version = version
         replica.history.extend(changes)
-        while len(replica.history) > MAX_HISTORY:
-            replica.history_start = replica.history.popleft().version
+        replica.history_bytes += sum(map(value_bytes, changes))
+        while (
+            len(replica.history) > MAX_HISTORY
+            or replica.history_bytes > MAX_HISTORY_BYTES
+        ):
+            oldest = replica.history.popleft()
+            replica.history_start = oldest.version
+            replica.history_bytes -= value_bytes(oldest)
         replica.revision += 1
         replica.synced = True
         replica.condition.notify_all()
 
 
+def value_bytes(change: leased.Change) -> int:
+    """Returns the size of the value that a change has written."""
+    return 0 if change.item is None else len(change.item.value)
+
+
 def changes_after(
     replica: Replica, version: int, era: int, wait_s: float
 ) -> leased.Changes:
--- a/packages/assignment/tests/test_replicas.py
+++ b/packages/assignment/tests/test_replicas.py
@@ -69,6 +69,20 @@
             replicas.apply_next_changes(self.replica)
         self.assertRaises(leased.HistoryCompacted, self.changes_for, self.start)
 
+    def test_history_of_large_values_is_bounded_in_bytes(self):
+        # A reader kept 512 values, 158 MB of configurations.
+        large = b"x" * 1_000_000
+        for _ in range(20):
+            self.write("p/2", large)
+            replicas.apply_next_changes(self.replica)
+        kept = len(self.replica.history) * len(large)
+        self.assertLessEqual(kept, replicas.MAX_HISTORY_BYTES)
+        self.assertEqual(kept, self.replica.history_bytes)
+        self.assertEqual(
+            [("p/2", True)], self.changes_for(self.replica.version - 1)
+        )
+        self.assertRaises(leased.HistoryCompacted, self.changes_for, self.start)
+
     def test_replica_that_was_never_read_refuses_followers(self):
         self.replica = replicas.Replica(self.store, "p/", ignore)
         self.assertRaises(leased.HistoryCompacted, self.changes_for, 5)
