Keep large changes small while all readers are avoided

Cause: for the 3 s in which both readers of a zone are avoided, a follower watched the store without a limit on the size of its answer, so a configuration of that time came as 413 KB over a link that was full. Change: a follower with readers uses the limited watch of the store in that time as well; a large change makes it ask the readers again. Evidence: test_large_change_comes_from_a_reader_that_is_avoided fails on the sources before, where the value comes from the store. 58 tests of the three files pass.

--- a/packages/assignment/src/waxwinglever_assignment/readers.py
+++ b/packages/assignment/src/waxwinglever_assignment/readers.py
@@ -85,22 +85,29 @@
     return candidates[:count]
 
 
-def choose_reader(follower: FollowerState) -> fleet_view.Member | None:
-    """Returns the reader to ask, or None to watch the store."""
+def preferred_readers(follower: FollowerState) -> list[fleet_view.Member]:
+    """Returns the readers of a follower, in the order in which to ask them.
+
+    There are none for a node that must watch the store.
+    """
     if follower.must_watch_store():
-        return None
+        return []
     members = fleet_view.list_members(follower.fleet)
     found = zone_readers(members, follower.zone)
-    if follower.name in [member.name for member in found]:
-        return None
+    if not found or follower.name in [member.name for member in found]:
+        return []
     # All nodes use the same order, so the followers spread evenly.
     position = sum(
         member.zone == follower.zone and member.name < follower.name
         for member in members
-    )
+    ) % len(found)
+    return found[position:] + found[:position]
+
+
+def choose_reader(follower: FollowerState) -> fleet_view.Member | None:
+    """Returns the reader to ask, or None to watch the store."""
     now_s = follower.now()
-    for offset in range(len(found)):
-        reader = found[(position + offset) % len(found)]
+    for reader in preferred_readers(follower):
         if follower.avoid_until_s.get(reader.name, now_s) <= now_s:
             return reader
     return None
@@ -126,13 +133,16 @@
                 "list again",
             )
         try:
-            if choose_reader(follower) is not None:
+            if preferred_readers(follower):
                 replica.current_until_s = float("-inf")
+                asks_reader = choose_reader(follower) is not None
                 found = ask_readers(
                     follower, prefix, version, era, FOLLOWER_WAIT_S
                 )
                 if found is None:
-                    found = catch_up(follower, prefix, version, era)
+                    # A reader that was lost just now may have hidden a change.
+                    left_s = 0.0 if asks_reader else wait_s
+                    found = catch_up(follower, prefix, version, left_s, era)
                 return found
         except leased.HistoryCompacted:
             # The store may have a longer history than the reader.
@@ -157,9 +167,9 @@
     """
     for _ in range(1 + MAX_REPEATS):
         reader = choose_reader(follower)
+        log_reader_change(follower, reader.name if reader else "")
         if reader is None:
             return None
-        log_reader_change(follower, reader.name)
         found = ask_reader(follower, reader, prefix, version, era, wait_s)
         if found is not None:
             return found
@@ -168,9 +178,9 @@
 
 
 def catch_up(
-    follower: FollowerState, prefix: str, version: int, era: int
+    follower: FollowerState, prefix: str, version: int, wait_s: float, era: int
 ) -> leased.Changes:
-    """Returns the changes that readers may have hidden which have failed.
+    """Returns the store's changes, for a follower whose readers have failed.
 
     The store's answer is uncompressed and has every value since the version. A
     large one would fill a slow link for seconds, so the readers are asked for
@@ -182,7 +192,7 @@
     """
     try:
         try:
-            return follower.store.watch_small(prefix, version, era)
+            return follower.store.watch_small(prefix, version, wait_s, era)
         except leased.AnswerTooLarge as error:
             follower.log(
                 "store-answer-too-large",
--- a/packages/assignment/tests/test_readers.py
+++ b/packages/assignment/tests/test_readers.py
@@ -172,6 +172,19 @@
         found = self.watch_of("n20")("p/", version, 2.0, 1)
         self.assertEqual((change,), found.changes)
 
+    def test_large_change_comes_from_a_reader_that_is_avoided(self):
+        # While all readers were avoided, the store sent the whole value.
+        self.respond = self.refuse
+        watch = self.watch_of("n20")
+        version = self.memory_store.version
+        for _ in range(2):
+            watch("p/", version, 0.0, 1)
+        self.assertEqual(3, len(self.requests))
+        change = leased.Change("p/large", 9, None)
+        self.respond = lambda: leased.Changes((change,), 9)
+        self.write("p/large", b"x" * (leased.SMALL_ANSWER_BYTES + 1))
+        self.assertEqual((change,), watch("p/", version, 2.0, 1).changes)
+
     def test_large_change_comes_from_the_store_if_no_reader_has_it(self):
         self.respond = self.refuse
         version = self.memory_store.version
@@ -186,9 +199,6 @@
         # without changes for 8.7 s.
         waits = []
 
-        def watch_small(prefix, version, era):
-            return watch_store(prefix, version, 0.0, era)
-
         def watch_store(prefix, version, wait_s, era):
             del prefix, era
             waits.append(wait_s)
@@ -196,7 +206,7 @@
 
         follower = self.follower("n20")
         follower.store = attrs.evolve(
-            self.store, watch=watch_store, watch_small=watch_small
+            self.store, watch=watch_store, watch_small=watch_store
         )
         watch = readers.watch(follower, self.node.replica)
         self.respond = self.refuse
--- a/packages/standins/src/waxwinglever_standins/memory_leased_store.py
+++ b/packages/standins/src/waxwinglever_standins/memory_leased_store.py
@@ -119,8 +119,10 @@
             check_era(era)
             return leased.Changes(matching_changes(), max(after, store.version))
 
-    def watch_small(prefix: str, after: int, era: int) -> leased.Changes:
-        found = watch(prefix, after, 0.0, era)
+    def watch_small(
+        prefix: str, after: int, wait_s: float, era: int
+    ) -> leased.Changes:
+        found = watch(prefix, after, wait_s, era)
         size = sum(len(c.item.value) for c in found.changes if c.item)
         if size > leased.SMALL_ANSWER_BYTES:
             raise leased.AnswerTooLarge(
--- a/packages/store/src/waxwinglever_store/leased.py
+++ b/packages/store/src/waxwinglever_store/leased.py
@@ -147,8 +147,8 @@
         empty Changes after a timeout. The arguments are the prefix of the
         keys, the version, the timeout in seconds and the era of the version.
         Raises HistoryCompacted if the version is too old.
-      watch_small: Returns the Changes after a version of an era at once, as
-        `watch` does. Raises AnswerTooLarge if they are large.
+      watch_small: Does the same as `watch`, but raises AnswerTooLarge if the
+        answer is large.
       commit: Runs a transaction and returns the new version. The arguments are
         the expected versions of keys (ABSENT for a key that must not exist),
         the writes, the keys to remove and the era of the versions and leases.
@@ -165,7 +165,7 @@
     get: Callable[[str], Item | None]
     list_prefix: Callable[[str], Listing]
     watch: Callable[[str, int, float, int], Changes]
-    watch_small: Callable[[str, int, int], Changes]
+    watch_small: Callable[[str, int, float, int], Changes]
     commit: Callable[
         [Mapping[str, int], Iterable[Write], Iterable[str], int], int
     ]
