--- a/packages/standins/src/waxwinglever_standins/fleet_simulation.py
+++ b/packages/standins/src/waxwinglever_standins/fleet_simulation.py
@@ -355,6 +355,11 @@
                 prefix, after, 0, era
             )
         ),
+        with_faults(
+            lambda prefix, after, _, era: memory_store.watch_small(
+                prefix, after, 0, era
+            )
+        ),
         with_faults(memory_store.commit, True),
         with_faults(memory_store.open_lease),
         with_faults(memory_store.renew),
