--- a/packages/assignment/tests/test_readers.py
+++ b/packages/assignment/tests/test_readers.py
@@ -160,7 +160,7 @@
             self.assertEqual(asked, len(self.requests))
 
     def test_large_change_comes_from_a_reader_although_all_had_failed(self):
-        # Every configuration since the version, 1.2 MB, took 8 s from the store
+        # Every configuration since the version took 8 s from the store
         # on a full link; a reader's answer has 41 KB.
         change = leased.Change("p/large", 9, None)
         responses = [self.refuse, self.refuse]
