Start the worker threads of HTTP servers on demand

Change: a pool of our own behind the interface that cheroot documents. It starts a thread for a connection when no worker is idle, reuses the worker that became idle last, and ends workers that were idle for 5 s. The limits of 96 and 64 concurrent requests stay.

Result: a server without requests has no worker. tests/test_workers.py fails on the pool of cheroot, which has 64 workers in an idle server.

--- a/packages/hops/src/waxwinglever_hops/server.py
+++ b/packages/hops/src/waxwinglever_hops/server.py
@@ -14,6 +14,7 @@
 import attrs
 from cheroot import server as cheroot_server
 
+from waxwinglever_hops import workers
 from waxwinglever_relay import messages
 
 BACKLOG = 256
@@ -115,7 +116,8 @@
 
     Args:
       address: host:port to listen on.
-      threads: Number of threads that handle requests.
+      threads: Most requests that are handled at the same time, each in a
+        thread that is started when it is needed.
       handle: Returns the response, or raises CloseWithoutResponse or
         CallerDisconnected.
     """
@@ -123,8 +125,8 @@
     server = cheroot_server.HTTPServer(
         (host, int(port)),
         gateway=make_gateway_class(handle),
-        minthreads=threads,
     )
+    server.requests = workers.WorkerPool(server, threads)
     server.request_queue_size = BACKLOG
     server.timeout = DEFAULT_IDLE_TIMEOUT_S
     server.max_request_header_size = DEFAULT_HEADER_BYTES
