--- a/packages/hops/src/waxwinglever_hops/workers.py
+++ b/packages/hops/src/waxwinglever_hops/workers.py
@@ -10,6 +10,8 @@
 # An idle worker ends after this time. Requests that come in bursts a few
 # seconds apart find their workers still there.
 IDLE_S = 5.0
+# Name of all worker threads.
+TASK = "worker"
 
 
 @attrs.define(eq=False)
@@ -83,7 +85,10 @@
             self.count += 1
         try:
             threading.Thread(
-                target=run_worker, args=(self, connection), daemon=True
+                target=run_worker,
+                args=(self, connection),
+                name=TASK,
+                daemon=True,
             ).start()
         except RuntimeError:
             # The machine has no room for another thread.
