Install only the libraries that the deployed daemon imports

Cause: the runtime lock had 23 libraries, 13 of them unused by the daemon, and every package was copied. cattrs was imported for the settings alone, and msgspec imports typing_extensions if it is there.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -2,6 +2,7 @@
 # Installs the runtime libraries and the deployed packages in target/deps.
 set -eu
 lock=deploy/runtime.lock
+packages="admission assignment hops model relay routing store telemetry"
 if [ ! -f target/deps/.lock ] || ! cmp -s "$lock" target/deps/.lock; then
   rm -rf target/deps
   python3 -m pip install -q --disable-pip-version-check --no-deps \
@@ -9,8 +10,8 @@
   cp "$lock" target/deps/.lock
 fi
 rm -rf target/deps/waxwinglever_*
-for folder in packages/*/src platform/src; do
-  case "$folder" in packages/bench/*|packages/standins/*|packages/cli/*) continue;; esac
-  cp -r "$folder"/. target/deps/
+for package in $packages; do
+  cp -r "packages/$package/src"/. target/deps/
 done
+cp -r platform/src/. target/deps/
 python3 -m compileall -q target/deps
