Let readers follow a few watchers of the store

Change: three nodes, and one more for each 96, watch the store, spread over the zones. Readers of the zones follow them and answer their followers as long as a watcher said that it is current, so nothing is further than two steps from the store and no two nodes can follow each other. The entry is written under the version known from the last write, and read only after a conflict.

--- a/packages/assignment/src/waxwinglever_assignment/readers.py
+++ b/packages/assignment/src/waxwinglever_assignment/readers.py
@@ -1,13 +1,15 @@
 """Which nodes watch the store, and how the others get changes from them.
 
 If every node watched the store, each change would cost one call of the store
-for each node. Instead, a few nodes of each zone, its readers, watch the store,
-and the others (followers) ask one of them. A reader whose own watch is overdue
-refuses the request, and so does a node that follows another one. A follower
-whose reader fails asks another one, and the store itself after that: its answer
-is large and counts as a call.
+for each node. Instead, a few nodes of the fleet, its watchers, watch the store.
+A few nodes of each zone, its readers, ask a watcher or are one, and all other
+nodes (followers) ask a reader of their zone. A watcher whose watch is overdue
+refuses a request, and so does a reader that has not heard from a watcher in
+time. A node whose reader or watcher fails asks another one, and the store
+itself after that: its answer is large and counts as a call.
 """
 
+import itertools
 from collections.abc import Callable, Sequence
 
 import attrs
@@ -20,6 +22,12 @@
 
 # Limits the load of a reader: each follower occupies two of its threads.
 NODES_PER_READER = 12
+# Each change costs a call of the store for each watcher, so their number must
+# not follow the number of zones: a fleet of 24 nodes in 6 zones made half of
+# its calls for the watches of 6 readers. With three, two may be lost at a time.
+MIN_WATCHERS = 3
+# Limits the load of a watcher: 8 readers of 12 nodes each ask it.
+NODES_PER_WATCHER = 96
 # How long a reader waits for a change before it answers a follower. A reader
 # that stops answering delays its followers by FOLLOWER_WAIT_S +
 # FOLLOWER_MARGIN_S; the platform allows 2 s until a configuration is active.
@@ -31,6 +39,10 @@
 # A copy is current for this long beyond the wait of its watch of the store. The
 # response of a watch that waits to its end is not there any sooner.
 CURRENT_MARGIN_S = 0.6
+# A reader that follows a watcher stays current for this much longer than the
+# watcher said. A watcher says CURRENT_MARGIN_S at least, and the next answer
+# comes FOLLOWER_WAIT_S later and may be held up.
+RELAY_MARGIN_S = 0.4
 # Readers that are asked, without a wait, after the first one has failed. More
 # would delay the change by FOLLOWER_MARGIN_S each when all of them are lost.
 MAX_REPEATS = 1
@@ -55,6 +67,7 @@
       now: Returns the time in seconds.
       avoid_until_s: When readers that failed may be asked again, by name.
       reader: Name of the reader that was asked last; '' for the store.
+      order_cache: Members, and the readers to ask that were found for them.
     """
 
     name: str
@@ -69,6 +82,10 @@
     now: Callable[[], float] = clock.boottime_s
     avoid_until_s: dict[str, float] = attrs.Factory(dict)
     reader: str = ""
+    order_cache: tuple[Sequence[fleet_view.Member], list[fleet_view.Member]] = (
+        (),
+        [],
+    )
 
 
 def zone_readers(
@@ -85,6 +102,22 @@
     return candidates[:count]
 
 
+def watchers(
+    members: Sequence[fleet_view.Member],
+) -> list[fleet_view.Member]:
+    """Returns the nodes that watch the store: some readers of all zones.
+
+    They are spread over the zones, so that the loss of a zone leaves some.
+    """
+    zones = sorted({member.zone for member in members})
+    by_rank = itertools.zip_longest(
+        *(zone_readers(members, zone) for zone in zones)
+    )
+    found = [m for rank in by_rank for m in rank if m is not None]
+    count = max(MIN_WATCHERS, -(-len(members) // NODES_PER_WATCHER))
+    return found[:count]
+
+
 def preferred_readers(follower: FollowerState) -> list[fleet_view.Member]:
     """Returns the readers of a follower, in the order in which to ask them.
 
@@ -93,15 +126,37 @@
     if follower.must_watch_store():
         return []
     members = fleet_view.list_members(follower.fleet)
-    found = zone_readers(members, follower.zone)
-    if not found or follower.name in [member.name for member in found]:
+    if follower.order_cache[0] is not members:
+        follower.order_cache = (
+            members,
+            reader_order(members, follower.name, follower.zone),
+        )
+    return follower.order_cache[1]
+
+
+def reader_order(
+    members: Sequence[fleet_view.Member], name: str, zone: str
+) -> list[fleet_view.Member]:
+    """Returns the nodes that a node asks, in order; none for a watcher.
+
+    For a reader these are the watchers, those of its zone first.
+    """
+    found = zone_readers(members, zone)
+    is_reader = name in [member.name for member in found]
+    if is_reader:
+        found = watchers(members)
+        if name in [member.name for member in found]:
+            return []
+    if not found:
         return []
     # All nodes use the same order, so the followers spread evenly.
     position = sum(
-        member.zone == follower.zone and member.name < follower.name
-        for member in members
+        member.zone == zone and member.name < name for member in members
     ) % len(found)
-    return found[position:] + found[:position]
+    found = found[position:] + found[:position]
+    if is_reader:
+        found.sort(key=lambda member: member.zone != zone)
+    return found
 
 
 def choose_reader(follower: FollowerState) -> fleet_view.Member | None:
@@ -116,7 +171,9 @@
 def watch(follower: FollowerState, replica: replicas.Replica) -> replicas.Watch:
     """Returns a watch for a copy that asks a reader, or else watches the store.
 
-    It records until when the copy is current. The watch raises
+    It records until when the copy is current. A copy that follows a node which
+    follows another one is not: two nodes with different views of the members
+    might follow each other. The watch raises
     StoreUnavailable, StoreRestored and HistoryCompacted as
     LeasedStoreClient.watch does.
     """
@@ -134,26 +191,41 @@
             )
         try:
             if preferred_readers(follower):
-                replica.current_until_s = float("-inf")
+                replica.watches_store = False
                 asks_reader = choose_reader(follower) is not None
+                asked_s = follower.now()
                 found = ask_readers(
                     follower, prefix, version, era, FOLLOWER_WAIT_S
                 )
-                if found is None:
-                    # A reader that was lost just now may have hidden a change.
-                    left_s = 0.0 if asks_reader else wait_s
-                    found = catch_up(follower, prefix, version, left_s, era)
-                return found
+                if found is not None:
+                    replica.current_until_s = (
+                        asked_s + found.current_s + RELAY_MARGIN_S
+                        if found.current_s > 0
+                        else float("-inf")
+                    )
+                    return found
+                # A reader that was lost just now may have hidden a change.
+                left_s = 0.0 if asks_reader else wait_s
+                mark_watching(follower, replica, left_s)
+                return catch_up(follower, prefix, version, left_s, era)
         except leased.HistoryCompacted:
             # The store may have a longer history than the reader.
             pass
         log_reader_change(follower, "")
-        replica.current_until_s = follower.now() + wait_s + CURRENT_MARGIN_S
+        mark_watching(follower, replica, wait_s)
         return follower.store.watch(prefix, version, wait_s, era)
 
     return watch_once
 
 
+def mark_watching(
+    follower: FollowerState, replica: replicas.Replica, wait_s: float
+) -> None:
+    """Records that a watch of the store begins, which waits for `wait_s`."""
+    replica.watches_store = True
+    replica.current_until_s = follower.now() + wait_s + CURRENT_MARGIN_S
+
+
 def ask_readers(
     follower: FollowerState, prefix: str, version: int, era: int, wait_s: float
 ) -> leased.Changes | None:
@@ -261,7 +333,8 @@
       wait_s: How long to wait, at most FOLLOWER_WAIT_S.
 
     Returns:
-      The changes, none if there were none in time.
+      The changes, none if there were none in time, and for how long the copy is
+      current if it watches the store.
 
     Raises:
       StoreUnavailable: There are no changes here, but the copy may be out of
@@ -269,7 +342,8 @@
       HistoryCompacted: Some of these changes are no longer in the history, or
         this node is in another era.
     """
-    end_s = replica.now() + min(wait_s, FOLLOWER_WAIT_S)
+    arrived_s = replica.now()
+    end_s = arrived_s + min(wait_s, FOLLOWER_WAIT_S)
     while True:
         if replica.store.era() != replica.era:
             raise leased.HistoryCompacted(
@@ -280,6 +354,13 @@
         found = replicas.changes_after(
             replica, version, era, max(0.0, min(CHECK_S, left_s))
         )
+        if replica.watches_store:
+            found = attrs.evolve(
+                found,
+                current_s=round(
+                    max(0.0, replica.current_until_s - arrived_s), 3
+                ),
+            )
         if found.changes:
             return found
         if not is_current(replica):
@@ -293,8 +374,7 @@
 def is_current(replica: replicas.Replica) -> bool:
     """Returns whether a change in the store would have reached the copy.
 
-    That is so while a watch of the store itself is not overdue. A copy that
-    follows another node is never current: two nodes with different views of the
-    members might follow each other.
+    That is so while the watch of the store is not overdue, that of this node or
+    of the node that it follows.
     """
     return not replica.disconnected and replica.now() < replica.current_until_s
--- a/packages/assignment/src/waxwinglever_assignment/replicas.py
+++ b/packages/assignment/src/waxwinglever_assignment/replicas.py
@@ -57,7 +57,10 @@
       synced: Whether the prefix was read at least once.
       disconnected: Whether the last call failed.
       current_until_s: Until when the watch that is in progress shows that the
-        copy has all changes; in the past if it doesn't watch the store itself.
+        copy has all changes; in the past if it follows a node that does not
+        watch the store itself.
+      watches_store: Whether `current_until_s` comes from a watch of the store
+        and not from another node.
       history: The latest changes in order.
       history_bytes: Size of their values.
       history_start: All changes after this version are in `history`.
@@ -80,6 +83,7 @@
     synced: bool = False
     disconnected: bool = False
     current_until_s: float = float("-inf")
+    watches_store: bool = False
     history: collections.deque[leased.Change] = attrs.Factory(collections.deque)
     history_bytes: int = 0
     history_start: int = 0
--- a/packages/assignment/src/waxwinglever_assignment/sessions.py
+++ b/packages/assignment/src/waxwinglever_assignment/sessions.py
@@ -56,6 +56,7 @@
         the era it was made for. Replaced at each change, as is `confirmations`.
       lease: The lease of the entry; its id is NO_LEASE if there is none.
       published: Content of the entry that this session wrote last, if any.
+      entry_version: Store version of the entry that this session wrote last.
       min_record_version: Store version of the first entry of this session.
         Older ownership records are ignored.
       confirmed_s: When the last successful confirmation was started.
@@ -78,6 +79,7 @@
     promised_s: dict[int, float] = attrs.Factory(dict)
     lease: leased.Lease = leased.Lease(leased.NO_LEASE)
     published: fleet_view.Member | None = None
+    entry_version: int = leased.ABSENT
     min_record_version: int = 0
     confirmed_s: float = float("-inf")
     confirmations: dict[int, float] = attrs.Factory(dict)
@@ -272,7 +274,9 @@
 def publish(session: Session) -> int:
     """Writes the entry and returns its store version.
 
-    The first entry under a lease marks the era of the lease as well.
+    The condition is the version that this session wrote last, or that there is
+    no entry. The entry is read only if that is wrong, as each call to the store
+    is charged for.
 
     Raises:
       LeaseExpired: The published entry no longer exists, or belongs to another
@@ -281,33 +285,74 @@
       StoreRestored: The lease was opened before the store was restored.
       StoreUnavailable: The store did not answer.
     """
-    key = fleet_view.entry_key(session.member.name)
     member = session.member
+    is_first = session.published is None
+    try:
+        version = write_entry(
+            session,
+            member,
+            leased.ABSENT if is_first else session.entry_version,
+        )
+    except leased.VersionConflict as error:
+        item = current_entry(session, error)
+        if not is_first and (item is None or item.lease != session.lease.id):
+            raise leased.LeaseExpired(
+                "the entry of this node no longer exists",
+                "a new session is opened",
+            ) from error
+        version = write_entry(
+            session,
+            member,
+            item.version if item is not None else leased.ABSENT,
+        )
+    session.published = member
+    session.entry_version = version
+    return version
+
+
+def current_entry(
+    session: Session, error: leased.VersionConflict
+) -> leased.Item | None:
+    """Returns the entry that a failed write met, or None if there is none.
+
+    Raises:
+      StoreRestored: The lease was opened before the store was restored.
+      StoreUnavailable: The store did not answer.
+    """
+    key = fleet_view.entry_key(session.member.name)
+    for item in error.current_items:
+        if item.key == key:
+            return item
     item = session.store.get(key)
     check_era(session)
-    if session.published is not None and (
-        item is None or item.lease != session.lease.id
-    ):
-        raise leased.LeaseExpired(
-            "the entry of this node no longer exists", "a new session is opened"
-        )
+    return item
+
+
+def write_entry(
+    session: Session, member: fleet_view.Member, expected_version: int
+) -> int:
+    """Writes the entry in place of the expected version.
+
+    The first entry under a lease marks the era of the lease as well.
+
+    Returns:
+      The store version of the entry.
+
+    Raises:
+      VersionConflict: The entry has another version.
+      StoreRestored: The lease was opened before the store was restored.
+      StoreUnavailable: The store did not answer.
+    """
+    key = fleet_view.entry_key(member.name)
     era = session.lease.era
     writes = eras.markers(era) if session.published is None else []
     # The entry comes last, so that it has the version of the transaction.
     writes.append(
         leased.Write(key, fleet_view.encode_member(member), session.lease.id)
     )
-    version = session.store.commit(
-        {
-            key: item.version if item is not None else leased.ABSENT,
-            **eras.condition(era),
-        },
-        writes,
-        [],
-        era,
+    return session.store.commit(
+        {key: expected_version, **eras.condition(era)}, writes, [], era
     )
-    session.published = member
-    return version
 
 
 def reset_lease(session: Session) -> None:
--- a/packages/assignment/tests/test_readers.py
+++ b/packages/assignment/tests/test_readers.py
@@ -286,6 +286,48 @@
             exceptions.StoreUnavailable, self.ask, replica.version
         )
 
+    def test_reader_that_follows_a_watcher_answers_its_followers(self):
+        # Each change cost a call of the store for each zone while only nodes
+        # that watch the store answered.
+        replica = self.node.replica
+        self.respond = lambda: leased.Changes((), 1, current_s=0.5)
+        self.watch_of("n20")(replica.prefix, replica.version, 1.0, 1)
+        found = self.ask(replica.version)
+        self.assertEqual((), found.changes)
+        # A node that follows this one must not answer others.
+        self.assertEqual(0.0, found.current_s)
+
+    def test_reader_without_news_of_its_watcher_refuses(self):
+        replica = self.node.replica
+        self.respond = lambda: leased.Changes((), 1, current_s=0.5)
+        self.watch_of("n20")(replica.prefix, replica.version, 1.0, 1)
+        self.clock.now_s += 0.5 + readers.RELAY_MARGIN_S
+        self.assertRaises(
+            exceptions.StoreUnavailable, self.ask, replica.version
+        )
+
+    def test_watcher_says_for_how_long_it_is_current(self):
+        replica = self.node.replica
+        said = []
+
+        def watch_store(prefix, version, wait_s, era):
+            del prefix, wait_s, era
+            self.clock.now_s += 0.25
+            said.append(self.ask(replica.version).current_s)
+            return leased.Changes((), version)
+
+        follower = self.follower("n00")
+        follower.store = attrs.evolve(self.store, watch=watch_store)
+        readers.watch(follower, replica)(replica.prefix, 1, 1.0, 1)
+        self.assertEqual([round(0.75 + readers.CURRENT_MARGIN_S, 3)], said)
+
+    def test_readers_stay_current_between_two_answers_of_a_watcher(self):
+        # A watcher says CURRENT_MARGIN_S at least when it answers.
+        self.assertGreater(
+            readers.CURRENT_MARGIN_S + readers.RELAY_MARGIN_S,
+            readers.FOLLOWER_WAIT_S,
+        )
+
     def test_changes_are_handed_out_by_any_copy_that_has_them(self):
         replica = self.node.replica
         version = replica.version
@@ -301,3 +343,67 @@
         memory_leased_store.restore_store(self.memory_store, copy)
         replica.store.get("x")
         self.assertRaises(leased.HistoryCompacted, self.ask, replica.version)
+
+
+@pytest.mark.usefixtures("build")
+class WatchersTest(testtools.TestCase):
+    """Guards against calls of the store that grow with zones or nodes."""
+
+    # Set by the fixture.
+    build: types.SimpleNamespace = types.SimpleNamespace()
+
+    def members(self, zones: int, nodes: int) -> list[fleet_view.Member]:
+        """Returns the members of a fleet, spread over its zones."""
+        return [
+            self.build.member(f"n{number:03}", zone=f"z{number % zones}")
+            for number in range(nodes)
+        ]
+
+    def orders(self, members) -> dict[str, list[fleet_view.Member]]:
+        """Returns the nodes that each node asks."""
+        return {
+            member.name: readers.reader_order(members, member.name, member.zone)
+            for member in members
+        }
+
+    def test_number_of_watchers_does_not_follow_the_zones(self):
+        # The store's calls for each change were 6 in a fleet of 24 nodes in 6
+        # zones, and 18 in one of 195.
+        for zones, nodes, count in ((6, 24, 3), (6, 195, 3), (6, 600, 7)):
+            members = self.members(zones, nodes)
+            watching = [
+                n for n, order in self.orders(members).items() if not order
+            ]
+            self.assertEqual(count, len(watching))
+            zones_left = {m.zone for m in members if m.name in watching}
+            self.assertEqual(min(count, zones), len(zones_left))
+
+    def test_small_fleet_has_a_watcher_in_each_of_its_zones(self):
+        members = self.members(3, 9)
+        watching = [n for n, order in self.orders(members).items() if not order]
+        self.assertEqual(["n000", "n001", "n002"], watching)
+
+    def test_every_node_is_two_steps_from_the_store_at_most(self):
+        members = self.members(6, 195)
+        orders = self.orders(members)
+        for order in orders.values():
+            for reader in order:
+                for watcher in orders[reader.name]:
+                    self.assertEqual([], orders[watcher.name])
+
+    def test_readers_spread_over_the_watchers(self):
+        members = self.members(6, 576)
+        asked = [
+            order[0].name
+            for name, order in self.orders(members).items()
+            if order and not self.orders(members)[order[0].name]
+        ]
+        self.assertEqual(6, len(set(asked)))
+
+    def test_reader_asks_the_watcher_of_its_zone_first(self):
+        members = self.members(6, 195)
+        watching = {m.name: m.zone for m in readers.watchers(members)}
+        for zone in watching.values():
+            reader = readers.zone_readers(members, zone)[1]
+            order = readers.reader_order(members, reader.name, zone)
+            self.assertEqual(zone, order[0].zone)
--- a/packages/assignment/tests/test_sessions.py
+++ b/packages/assignment/tests/test_sessions.py
@@ -2,6 +2,7 @@
 
 import types
 
+import attrs
 import pytest
 import testtools
 
@@ -89,6 +90,43 @@
         member = fleet_view.decode_member(item.value)
         self.assertEqual(fleet_view.DRAINING, member.state)
 
+    def test_entry_is_written_without_a_read(self):
+        # Each call to the store is charged for.
+        self.memory_store.calls.clear()
+        sessions.update_member(self.session, state=fleet_view.DRAINING)
+        sessions.confirm(self.session)
+        sessions.update_member(self.session, leaving=True)
+        sessions.confirm(self.session)
+        self.assertNotIn("get", self.memory_store.calls)
+
+    def test_entry_of_an_earlier_run_is_replaced(self):
+        # After a kill the entry stays until its lease ends.
+        restarted = self.build.node(self.memory_store, self.clock, "n1")
+        restarted.session.member = attrs.evolve(
+            restarted.session.member, incarnation="2"
+        )
+        sessions.confirm(restarted.session)
+        item = restarted.session.store.get(fleet_view.entry_key("n1"))
+        self.assertEqual(restarted.session.lease.id, item.lease)
+        sessions.update_member(self.session, leaving=True)
+        self.assertRaises(leased.LeaseExpired, sessions.confirm, self.session)
+
+    def test_write_with_a_lost_answer_is_repeated(self):
+        # The entry then has a version that the session does not know.
+        sessions.update_member(self.session, leaving=True)
+        key = fleet_view.entry_key("n1")
+        self.session.store.commit(
+            {},
+            [leased.Write(key, b"{}", self.session.lease.id)],
+            [],
+            self.session.lease.era,
+        )
+        sessions.confirm(self.session)
+        self.assertEqual(
+            self.session.member,
+            fleet_view.decode_member(self.session.store.get(key).value),
+        )
+
     def test_close_removes_the_entry(self):
         sessions.close(self.session)
         self.assertNotIn(fleet_view.entry_key("n1"), self.memory_store.items)
--- a/packages/hops/src/waxwinglever_hops/control.py
+++ b/packages/hops/src/waxwinglever_hops/control.py
@@ -162,9 +162,11 @@
     only take up its link.
     """
     latest = {change.key: change for change in changes.changes}
-    return leased.Changes(
-        tuple(sorted(latest.values(), key=lambda change: change.version)),
-        changes.version,
+    return attrs.evolve(
+        changes,
+        changes=tuple(
+            sorted(latest.values(), key=lambda change: change.version)
+        ),
     )
 
 
--- a/packages/hops/tests/test_control.py
+++ b/packages/hops/tests/test_control.py
@@ -6,6 +6,7 @@
 import types
 
 import msgspec
+import attrs
 import testtools
 import urllib3
 from urllib3 import connection
@@ -147,6 +148,20 @@
             fetch(reader, "op/", 4, 2, wait_s)
         self.assertEqual([(4, 2, readers.FOLLOWER_WAIT_S), (4, 2, 0.0)], calls)
 
+    def test_time_for_which_a_watcher_is_current_arrives(self):
+        # Without it a reader that follows a watcher refuses its followers, and
+        # all of them turn to the store.
+        sent = attrs.evolve(make_changes(b"x"), current_s=1.25)
+        self.patch(readers, "wait_for_changes", lambda *_: sent)
+        endpoint = types.SimpleNamespace(replicas={"op/": object()})
+        response = control.handle_changes(endpoint, "1/4/op/")
+        self.assertEqual(
+            1.25,
+            control.decode_changes(
+                http_client.Response(200, (), response.body)
+            ).current_s,
+        )
+
     def test_changes_of_any_size_arrive_unchanged(self):
         for routes in (0, 1, 1_550):
             changes = make_changes(make_config(routes))
--- a/packages/store/src/waxwinglever_store/leased.py
+++ b/packages/store/src/waxwinglever_store/leased.py
@@ -105,10 +105,19 @@
 
 @attrs.frozen
 class Changes:
-    """Changes in order, and the version to watch from next."""
+    """Changes in order, and the version to watch from next.
+
+    Attributes:
+      changes: The changes.
+      version: Version to watch from next.
+      current_s: If another node that watches the store sent the changes: for
+        how long after the arrival of the request its copy is known to be
+        current. Otherwise 0.
+    """
 
     changes: tuple[Change, ...]
     version: int
+    current_s: float = 0.0
 
 
 @attrs.frozen
