Keep followers at their readers while the store cuts all watches

The watchers were overdue for 0.15 s, refused all followers, and each of these asked the store twice, was told that the history is gone, and listed the prefix: 6 calls a node. The planner was a fourth watcher beside the three. Load reports of 153 owners at 0.3 s are 510 requests a second to and by the planner.

Change: a reader refuses only once it was overdue for 0.2 s; its first watch after a failure returns at once; a follower that meets the gap in the history asks its readers again before it lists; the planner is one of the watchers. The planner requests at most 150 reports a second, and balances 0.5 s after them.

Result: tests in test_readers.py and test_replicas.py fail without the change.

--- a/packages/assignment/src/waxwinglever_assignment/fleet_view.py
+++ b/packages/assignment/src/waxwinglever_assignment/fleet_view.py
@@ -208,6 +208,12 @@
     return found if fleet.now() - gone_s < LINGER_S else None
 
 
+def planner_incarnation(fleet: FleetView) -> str:
+    """Returns the incarnation of the planner, or '' if there is none."""
+    item = fleet.replica.items.get(PLANNER)
+    return "" if item is None else item.value.decode("utf-8", "replace")
+
+
 def voter_list(fleet: FleetView) -> promises.VoterList | None:
     """Returns the list of voters, or None when there is none."""
     return read_decoded(fleet, VOTERS, promises.decode)
--- a/packages/assignment/src/waxwinglever_assignment/planner.py
+++ b/packages/assignment/src/waxwinglever_assignment/planner.py
@@ -29,11 +29,14 @@
 # charge on the platform, and later moves are priced. The first list of voters
 # is written after the same time.
 SETTLE_S = 1.0
-# Interval between moves for balance; measured loads follow a move in about this
-# time.
-BALANCE_S = 0.8
-# Interval between requests for load reports.
+# Interval between requests for the load reports of a small fleet, and how many
+# reports the planner requests in a second at most. At 153 owners and a fixed
+# interval the planner spent most of a core on them.
 REPORT_S = 0.3
+MAX_REPORTS_PER_S = 150.0
+# Interval between moves for balance, beyond that between load reports; measured
+# loads follow a move in about this time.
+BALANCE_S = 0.5
 # Concurrent requests for load reports.
 REPORT_THREADS = 8
 # Assumed time that a request occupies a slot until a node has measured it.
@@ -215,7 +218,10 @@
             )
             is_planner = True
         elif item is not None:
-            is_planner = item.value.decode() == member.incarnation
+            is_planner = (
+                fleet_view.planner_incarnation(planner.fleet)
+                == member.incarnation
+            )
     if is_planner != planner.is_planner:
         planner.is_planner = is_planner
         planner.missing.clear()
@@ -433,7 +439,8 @@
         capacities(members, reports),
     )
     planner.balanced_s.setdefault(service, now_s)
-    balance = now_s - planner.balanced_s[service] >= BALANCE_S
+    balance_interval_s = BALANCE_S + report_interval_s(len(members))
+    balance = now_s - planner.balanced_s[service] >= balance_interval_s
     planned = planning.plan(plan_input, balance)
     if balance:
         planner.balanced_s[service] = now_s
@@ -588,23 +595,30 @@
     return found
 
 
+def report_interval_s(owners: int) -> float:
+    """Returns the interval between two load reports of a node."""
+    return max(REPORT_S, owners / MAX_REPORTS_PER_S)
+
+
 def run_reports(planner: Planner) -> None:
     """Fetches load reports while this node is the planner; runs in a thread."""
-    while not planner.stopping.wait(REPORT_S):
+    interval_s = REPORT_S
+    while not planner.stopping.wait(interval_s):
         if not planner.is_planner:
             planner.reports.clear()
             continue
         services = set(planner.services())
+        members = [
+            member
+            for member in fleet_view.list_members(planner.fleet)
+            if member.service in services
+        ]
+        interval_s = report_interval_s(len(members))
         # In parallel, as silent nodes must not delay the reports of ranges that
         # others hold since before a restore.
         list(
             planner.report_executor.map(
-                lambda member: fetch_report(planner, member),
-                [
-                    member
-                    for member in fleet_view.list_members(planner.fleet)
-                    if member.service in services
-                ],
+                lambda member: fetch_report(planner, member), members
             )
         )
 
--- a/packages/assignment/src/waxwinglever_assignment/readers.py
+++ b/packages/assignment/src/waxwinglever_assignment/readers.py
@@ -43,6 +43,10 @@
 # watcher said. A watcher says CURRENT_MARGIN_S at least, and the next answer
 # comes FOLLOWER_WAIT_S later and may be held up.
 RELAY_MARGIN_S = 0.4
+# A copy whose watch is overdue or has just failed may be current again within
+# this time. If it refused its followers at once, all of them turned to the
+# store in the moment in which the store cut all watches.
+REFUSAL_DELAY_S = 0.2
 # Readers that are asked, without a wait, after the first one has failed. More
 # would delay the change by FOLLOWER_MARGIN_S each when all of them are lost.
 MAX_REPEATS = 1
@@ -50,6 +54,10 @@
 AVOID_S = 3.0
 
 
+class ReaderHistoryGone(leased.HistoryCompacted):
+    """A reader no longer has all changes; the store may have them."""
+
+
 @attrs.define(eq=False)
 class FollowerState:
     """The state of a node that gets changes from readers.
@@ -67,7 +75,8 @@
       now: Returns the time in seconds.
       avoid_until_s: When readers that failed may be asked again, by name.
       reader: Name of the reader that was asked last; '' for the store.
-      order_cache: Members, and the readers to ask that were found for them.
+      order_cache: Members and incarnation of the planner, and the readers to
+        ask that were found for them.
     """
 
     name: str
@@ -82,10 +91,9 @@
     now: Callable[[], float] = clock.boottime_s
     avoid_until_s: dict[str, float] = attrs.Factory(dict)
     reader: str = ""
-    order_cache: tuple[Sequence[fleet_view.Member], list[fleet_view.Member]] = (
-        (),
-        [],
-    )
+    order_cache: tuple[
+        Sequence[fleet_view.Member], str, list[fleet_view.Member]
+    ] = ((), "", [])
 
 
 def zone_readers(
@@ -103,17 +111,24 @@
 
 
 def watchers(
-    members: Sequence[fleet_view.Member],
+    members: Sequence[fleet_view.Member], planner: str
 ) -> list[fleet_view.Member]:
     """Returns the nodes that watch the store: some readers of all zones.
 
-    They are spread over the zones, so that the loss of a zone leaves some.
+    They are spread over the zones, so that the loss of a zone leaves some. The
+    planner watches the store in any case, so it is one of them.
+
+    Args:
+      members: All members.
+      planner: Incarnation of the planner, or '' if there is none.
     """
     zones = sorted({member.zone for member in members})
     by_rank = itertools.zip_longest(
         *(zone_readers(members, zone) for zone in zones)
     )
     found = [m for rank in by_rank for m in rank if m is not None]
+    planners = [m for m in members if m.incarnation == planner]
+    found = planners + [m for m in found if m not in planners]
     count = max(MIN_WATCHERS, -(-len(members) // NODES_PER_WATCHER))
     return found[:count]
 
@@ -126,25 +141,31 @@
     if follower.must_watch_store():
         return []
     members = fleet_view.list_members(follower.fleet)
-    if follower.order_cache[0] is not members:
-        follower.order_cache = (
-            members,
-            reader_order(members, follower.name, follower.zone),
-        )
-    return follower.order_cache[1]
+    planner = fleet_view.planner_incarnation(follower.fleet)
+    known_members, known_planner, order = follower.order_cache
+    if known_members is not members or known_planner != planner:
+        order = reader_order(members, planner, follower.name, follower.zone)
+        follower.order_cache = (members, planner, order)
+    return order
 
 
 def reader_order(
-    members: Sequence[fleet_view.Member], name: str, zone: str
+    members: Sequence[fleet_view.Member], planner: str, name: str, zone: str
 ) -> list[fleet_view.Member]:
     """Returns the nodes that a node asks, in order; none for a watcher.
 
     For a reader these are the watchers, those of its zone first.
+
+    Args:
+      members: All members.
+      planner: Incarnation of the planner, or '' if there is none.
+      name: Name of the node.
+      zone: Availability zone of the node.
     """
     found = zone_readers(members, zone)
     is_reader = name in [member.name for member in found]
     if is_reader:
-        found = watchers(members)
+        found = watchers(members, planner)
         if name in [member.name for member in found]:
             return []
     if not found:
@@ -173,9 +194,8 @@
 
     It records until when the copy is current. A copy that follows a node which
     follows another one is not: two nodes with different views of the members
-    might follow each other. The watch raises
-    StoreUnavailable, StoreRestored and HistoryCompacted as
-    LeasedStoreClient.watch does.
+    might follow each other. The watch raises StoreUnavailable, StoreRestored
+    and HistoryCompacted as LeasedStoreClient.watch does.
     """
 
     def watch_once(
@@ -189,28 +209,13 @@
                 f" era {era}",
                 "list again",
             )
-        try:
-            if preferred_readers(follower):
-                replica.watches_store = False
-                asks_reader = choose_reader(follower) is not None
-                asked_s = follower.now()
-                found = ask_readers(
-                    follower, prefix, version, era, FOLLOWER_WAIT_S
-                )
-                if found is not None:
-                    replica.current_until_s = (
-                        asked_s + found.current_s + RELAY_MARGIN_S
-                        if found.current_s > 0
-                        else float("-inf")
-                    )
-                    return found
-                # A reader that was lost just now may have hidden a change.
-                left_s = 0.0 if asks_reader else wait_s
-                mark_watching(follower, replica, left_s)
-                return catch_up(follower, prefix, version, left_s, era)
-        except leased.HistoryCompacted:
-            # The store may have a longer history than the reader.
-            pass
+        if preferred_readers(follower):
+            replica.watches_store = False
+            try:
+                return follow(follower, replica, prefix, version, wait_s, era)
+            except ReaderHistoryGone:
+                # The store may have a longer history than the reader.
+                pass
         log_reader_change(follower, "")
         mark_watching(follower, replica, wait_s)
         return follower.store.watch(prefix, version, wait_s, era)
@@ -218,6 +223,54 @@
     return watch_once
 
 
+def follow(
+    follower: FollowerState,
+    replica: replicas.Replica,
+    prefix: str,
+    version: int,
+    wait_s: float,
+    era: int,
+) -> leased.Changes:
+    """Returns the changes that a reader has, or the store if several failed.
+
+    Raises:
+      ReaderHistoryGone: A reader does not have all changes.
+      HistoryCompacted: The readers failed, and neither they nor the store have
+        all changes.
+      StoreUnavailable: The readers failed, and the store did not answer.
+    """
+
+    def ask() -> leased.Changes | None:
+        asked_s = follower.now()
+        found = ask_readers(follower, prefix, version, era, FOLLOWER_WAIT_S)
+        if found is not None:
+            replica.current_until_s = (
+                asked_s + found.current_s + RELAY_MARGIN_S
+                if found.current_s > 0
+                else float("-inf")
+            )
+        return found
+
+    asks_reader = choose_reader(follower) is not None
+    found = ask()
+    if found is not None:
+        return found
+    # A reader that was lost just now may have hidden a change.
+    left_s = 0.0 if asks_reader else wait_s
+    mark_watching(follower, replica, left_s)
+    try:
+        return catch_up(follower, prefix, version, left_s, era)
+    except leased.HistoryCompacted:
+        # The readers have met the same gap, and have read the store again by
+        # now. If each follower did, it would cost a list of each node.
+        replica.watches_store = False
+        follower.avoid_until_s.clear()
+        found = ask()
+        if found is None:
+            raise
+        return found
+
+
 def mark_watching(
     follower: FollowerState, replica: replicas.Replica, wait_s: float
 ) -> None:
@@ -235,7 +288,7 @@
     one if it fails.
 
     Raises:
-      HistoryCompacted: A reader does not have all changes.
+      ReaderHistoryGone: A reader does not have all changes.
     """
     for _ in range(1 + MAX_REPEATS):
         reader = choose_reader(follower)
@@ -296,11 +349,13 @@
     A reader that failed is not chosen again for AVOID_S.
 
     Raises:
-      HistoryCompacted: The reader does not have all changes.
+      ReaderHistoryGone: The reader does not have all changes.
     """
     asked_s = follower.now()
     try:
         return follower.fetch_changes(reader, prefix, version, era, wait_s)
+    except leased.HistoryCompacted as error:
+        raise ReaderHistoryGone(error.message, error.remedy) from error
     except exceptions.PeerUnavailable as error:
         follower.avoid_until_s[reader.name] = follower.now() + AVOID_S
         follower.log(
@@ -344,6 +399,7 @@
     """
     arrived_s = replica.now()
     end_s = arrived_s + min(wait_s, FOLLOWER_WAIT_S)
+    last_current_s = arrived_s
     while True:
         if replica.store.era() != replica.era:
             raise leased.HistoryCompacted(
@@ -363,11 +419,14 @@
             )
         if found.changes:
             return found
-        if not is_current(replica):
+        now_s = replica.now()
+        if is_current(replica):
+            last_current_s = now_s
+        elif now_s >= min(end_s, last_current_s + REFUSAL_DELAY_S):
             raise exceptions.StoreUnavailable(
                 "the copy of this node may be out of date", "watch the store"
             )
-        if replica.now() >= end_s:
+        if now_s >= end_s:
             return found
 
 
--- a/packages/assignment/src/waxwinglever_assignment/replicas.py
+++ b/packages/assignment/src/waxwinglever_assignment/replicas.py
@@ -219,8 +219,11 @@
       StoreRestored: The store is in a later era than the copy.
       StoreUnavailable: The store did not answer.
     """
+    # After a failure the first watch returns at once: until one has succeeded,
+    # the followers of this node are refused and turn to the store.
+    wait_s = 0.0 if replica.disconnected else replica.wait_s
     changes = replica.watch(
-        replica.prefix, replica.version, replica.wait_s, replica.era
+        replica.prefix, replica.version, wait_s, replica.era
     )
     mark_connected(replica)
     version = max(replica.version, changes.version)
--- a/packages/assignment/tests/test_readers.py
+++ b/packages/assignment/tests/test_readers.py
@@ -215,6 +215,30 @@
         watch("p/", 1, 2.0, 1)
         self.assertEqual([0.0, 2.0], waits)
 
+    def test_readers_are_asked_again_after_the_store_lost_its_history(self):
+        # All nodes had met the same gap, and each read the whole prefix from
+        # the store, although its reader had done so a moment before.
+        change = leased.Change("p/1", 9, None)
+        responses = [self.refuse, self.refuse]
+        self.respond = lambda: (
+            responses.pop()() if responses else leased.Changes((change,), 9)
+        )
+        calls = []
+
+        def compacted(*_):
+            calls.append("watch")
+            raise leased.HistoryCompacted("gone", "none")
+
+        follower = self.follower("n20")
+        follower.store = attrs.evolve(
+            self.store, watch=compacted, watch_small=compacted
+        )
+        watch = readers.watch(follower, self.node.replica)
+        self.assertEqual((change,), watch("p/", 1, 1.0, 1).changes)
+        self.assertEqual(["watch"], calls)
+        self.respond = self.refuse
+        self.assertRaises(leased.HistoryCompacted, watch, "p/", 1, 1.0, 1)
+
     def test_nodes_with_most_cores_are_readers(self):
         # On a small VM the followers would wait for processor time.
         member = self.build.member("n17", cores=2.0)
@@ -259,6 +283,36 @@
             exceptions.StoreUnavailable, self.ask, replica.version
         )
 
+    def ask_while(self, become_current_s: float) -> leased.Changes:
+        """Asks the node, whose copy becomes current after a time."""
+        replica = self.node.replica
+        start_s = self.clock.now_s
+
+        def changes_after(replica, version, era, wait_s):
+            del era
+            self.clock.now_s += max(wait_s, 0.01)
+            if self.clock.now_s >= start_s + become_current_s:
+                replica.current_until_s = float("inf")
+            return leased.Changes((), version)
+
+        self.patch(replicas, "changes_after", changes_after)
+        return readers.wait_for_changes(
+            replica, replica.version, 1, readers.FOLLOWER_WAIT_S
+        )
+
+    def test_reader_whose_watch_begins_again_keeps_its_followers(self):
+        # When the store cut all watches at a time, every follower was refused
+        # and turned to the store, with two calls each.
+        self.assertEqual((), self.ask_while(0.15).changes)
+
+    def test_reader_whose_watch_stays_overdue_refuses_soon(self):
+        start_s = self.clock.now_s
+        self.assertRaises(exceptions.StoreUnavailable, self.ask_while, 60.0)
+        self.assertLess(
+            self.clock.now_s - start_s,
+            readers.REFUSAL_DELAY_S + readers.CHECK_S + 0.01,
+        )
+
     def test_reader_is_current_for_the_wait_of_its_watch(self):
         # Refusals made all followers of a reader turn to the store at once.
         replica = self.node.replica
@@ -362,7 +416,9 @@
     def orders(self, members) -> dict[str, list[fleet_view.Member]]:
         """Returns the nodes that each node asks."""
         return {
-            member.name: readers.reader_order(members, member.name, member.zone)
+            member.name: readers.reader_order(
+                members, "", member.name, member.zone
+            )
             for member in members
         }
 
@@ -378,6 +434,15 @@
             zones_left = {m.zone for m in members if m.name in watching}
             self.assertEqual(min(count, zones), len(zones_left))
 
+    def test_planner_is_one_of_the_watchers(self):
+        # It watches the store in any case; as a fourth watcher it cost a third
+        # more calls.
+        members = self.members(6, 24)
+        planner = members[20] = attrs.evolve(members[20], incarnation="p")
+        found = readers.watchers(members, "p")
+        self.assertEqual(readers.MIN_WATCHERS, len(found))
+        self.assertIn(planner, found)
+
     def test_small_fleet_has_a_watcher_in_each_of_its_zones(self):
         members = self.members(3, 9)
         watching = [n for n, order in self.orders(members).items() if not order]
@@ -402,8 +467,8 @@
 
     def test_reader_asks_the_watcher_of_its_zone_first(self):
         members = self.members(6, 195)
-        watching = {m.name: m.zone for m in readers.watchers(members)}
+        watching = {m.name: m.zone for m in readers.watchers(members, "")}
         for zone in watching.values():
             reader = readers.zone_readers(members, zone)[1]
-            order = readers.reader_order(members, reader.name, zone)
+            order = readers.reader_order(members, "", reader.name, zone)
             self.assertEqual(zone, order[0].zone)
--- a/packages/assignment/tests/test_replicas.py
+++ b/packages/assignment/tests/test_replicas.py
@@ -33,6 +33,24 @@
         found = replicas.changes_after(self.replica, version, 1, 0.0)
         return [(c.key, c.item is not None) for c in found.changes]
 
+    def test_first_watch_after_a_failure_returns_at_once(self):
+        # Until a watch has succeeded, all followers are refused. A watch that
+        # waits for a change kept them at the store for a second.
+        waits = []
+
+        def watch(prefix, version, wait_s, era):
+            del prefix, era
+            waits.append(wait_s)
+            return leased.Changes((), version)
+
+        self.replica.watch = watch
+        self.replica.wait_s = 1.0
+        self.replica.disconnected = True
+        replicas.apply_next_changes(self.replica)
+        replicas.apply_next_changes(self.replica)
+        self.assertEqual([0.0, 1.0], waits)
+        self.assertFalse(self.replica.disconnected)
+
     def test_follower_gets_writes_and_removals_in_order(self):
         self.write("p/2", b"2")
         self.store.commit({}, [], ["p/1"], 1)
