Notice a caller that leaves with pipelined requests unread

Cause: once the bytes of a further request lay in a caller's socket, the socket was no longer watched, and a look at it found bytes and not the end of the connection.

Change: the socket stays watched for its end, and the end counts before bytes that are unread.

Result: the tests of the wait for a response and of the server's look at its caller fail without the change; order, framing and one response each of pipelined requests, and a response that closes the connection in the middle, are tested on raw sockets and held before.

--- a/packages/hops/src/waxwinglever_hops/server.py
+++ b/packages/hops/src/waxwinglever_hops/server.py
@@ -212,7 +212,8 @@
         poller = select.poll()
         poller.register(sock.fileno(), select.POLLIN | select.POLLRDHUP)
         for _, events in poller.poll(0):
-            if events & (select.POLLHUP | select.POLLERR):
+            # Requests that the caller has pipelined may still be unread.
+            if events & (select.POLLHUP | select.POLLERR | select.POLLRDHUP):
                 return True
             try:
                 return not sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
--- a/packages/hops/tests/test_server.py
+++ b/packages/hops/tests/test_server.py
@@ -96,6 +96,71 @@
             )
         self.assertEqual(2, client.opened)
 
+    def pipeline(self, address, count: int) -> socket.socket:
+        """Sends several requests at once on a new connection."""
+        host, _, port = address.rpartition(":")
+        sock = socket.create_connection((host, int(port)), 3)
+        self.addCleanup(sock.close)
+        sock.sendall(
+            b"".join(
+                b"GET /%d HTTP/1.1\r\nHost: x\r\n\r\n" % number
+                for number in range(count)
+            )
+        )
+        return sock
+
+    def test_caller_that_leaves_unread_requests_behind_is_noticed(self):
+        # The bytes of its next requests hid that it had closed its connection,
+        # so its request ran to the end for nobody.
+        disconnected = threading.Event()
+        begun = threading.Event()
+
+        def handle(incoming):
+            begun.set()
+            for _ in range(100):
+                if incoming.caller.is_closed():
+                    disconnected.set()
+                    break
+                threading.Event().wait(0.02)
+            return server.HttpResponse(200, (), b"")
+
+        # More than the server reads ahead.
+        sock = self.pipeline(self.serve(handle), 5_000)
+        self.assertTrue(begun.wait(2))
+        self.assertFalse(disconnected.is_set())
+        sock.close()
+        self.assertTrue(disconnected.wait(2))
+
+    def test_pipelined_requests_get_one_response_each_in_order(self):
+        address = self.serve(
+            lambda r: server.HttpResponse(200, (), r.target.encode())
+        )
+        with self.pipeline(address, 5).makefile("rb") as stream:
+            received = b""
+            while not received.endswith(b"/4"):
+                received += stream.read(1)
+        self.assertEqual(5, received.count(b"HTTP/1.1 200"))
+        bodies = [part[-2:] for part in received.split(b"HTTP/1.1 200")[1:]]
+        self.assertEqual([b"/0", b"/1", b"/2", b"/3", b"/4"], bodies)
+
+    def test_requests_behind_a_response_that_closes_are_not_handled(self):
+        # The caller sends them again, as they count as not read.
+        targets = []
+
+        def handle(incoming):
+            targets.append(incoming.target)
+            return server.HttpResponse(200, (), b"x", close=True)
+
+        sock = self.pipeline(self.serve(handle), 3)
+        received = b""
+        try:
+            while chunk := sock.recv(1000):
+                received += chunk
+        except ConnectionResetError:
+            pass
+        self.assertEqual(1, received.count(b"HTTP/1.1 200"))
+        self.assertEqual(["/0"], targets)
+
     def test_handler_notices_that_its_caller_disconnected(self):
         disconnected = threading.Event()
         begun = threading.Event()
--- a/packages/relay/src/waxwinglever_relay/http_client.py
+++ b/packages/relay/src/waxwinglever_relay/http_client.py
@@ -417,9 +417,8 @@
             if caller.is_closed():
                 raise messages.caller_disconnected_error()
             # The caller pipelined its next request. Its socket stays readable
-            # and would end each poll at once.
-            poller.unregister(caller.fileno)
-            caller = None
+            # and would end each poll at once; its close is still noticed.
+            poller.modify(caller.fileno, select.POLLRDHUP)
 
 
 def is_readable(sock: socket.socket | None) -> bool:
--- a/packages/relay/tests/test_http_client.py
+++ b/packages/relay/tests/test_http_client.py
@@ -8,6 +8,7 @@
 
 from waxwinglever_model import clock
 from waxwinglever_relay import http_client
+from waxwinglever_relay import messages
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
 # What a faulty server sends before, and then without end.
@@ -157,3 +158,40 @@
         self.addCleanup(server.close)
         response = self.send(server, 10.0)
         self.assertEqual(body, response.body)
+
+
+class PipeliningCallerTest(testtools.TestCase):
+    """Guards against work for callers that have left."""
+
+    def test_caller_that_left_with_requests_unread_ends_the_wait(self):
+        # The socket was no longer watched once the bytes of a further request
+        # lay there, so the backend server worked on until its response.
+        silent = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(silent.close)
+        ours, caller = socket.socketpair()
+        self.addCleanup(ours.close)
+        caller.sendall(b"GET /next HTTP/1.1\r\n")
+        left = threading.Event()
+        connection = messages.CallerConnection(ours.fileno(), left.is_set)
+
+        def leave():
+            left.set()
+            caller.close()
+
+        timer = threading.Timer(0.2, leave)
+        timer.start()
+        self.addCleanup(timer.cancel)
+        began_s = clock.boottime_s()
+        self.assertRaises(
+            messages.CallerDisconnected,
+            http_client.send_request,
+            http_client.Client(0.5),
+            f"127.0.0.1:{silent.getsockname()[1]}",
+            "GET",
+            "/",
+            {"Host": "x"},
+            b"",
+            began_s + 5.0,
+            connection,
+        )
+        self.assertLess(clock.boottime_s() - began_s, 4.0)
