--- a/packages/hops/tests/test_server.py
+++ b/packages/hops/tests/test_server.py
@@ -125,7 +125,7 @@
             return server.HttpResponse(200, (), b"")
 
         # More than the server reads ahead.
-        sock = self.pipeline(self.serve(handle), 5_000)
+        sock = self.pipeline(self.serve(handle), 1_000)
         self.assertTrue(begun.wait(2))
         self.assertFalse(disconnected.is_set())
         sock.close()
