--- a/packages/relay/tests/test_http_client.py
+++ b/packages/relay/tests/test_http_client.py
@@ -195,3 +195,49 @@
             connection,
         )
         self.assertLess(clock.boottime_s() - began_s, 4.0)
+
+
+class SecondCopyTest(testtools.TestCase):
+    """Guards against a caller that gets the answer to another request."""
+
+    def test_connection_with_a_late_second_copy_is_not_used_again(self):
+        # The copy would be read as the response to the next request.
+        response = HEAD + b"Content-Length: 1\r\n\r\n"
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        copied = threading.Event()
+        answered = threading.Event()
+
+        def serve():
+            first, _ = listener.accept()
+            first.recv(1000)
+            first.sendall(response + b"1")
+            # The client has read the first copy by now.
+            answered.wait(2.0)
+            first.sendall(response + b"1")
+            copied.set()
+            second, _ = listener.accept()
+            second.recv(1000)
+            second.sendall(response + b"2")
+
+        threading.Thread(target=serve, daemon=True).start()
+        client = http_client.Client(1.0)
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        bodies = []
+        for _ in range(2):
+            bodies.append(
+                http_client.send_request(
+                    client,
+                    address,
+                    "GET",
+                    "/",
+                    {"Host": "x"},
+                    b"",
+                    clock.boottime_s() + 3.0,
+                ).body
+            )
+            answered.set()
+            self.assertTrue(copied.wait(2.0))
+            time.sleep(0.05)
+        self.assertEqual([b"1", b"2"], bodies)
+        self.assertEqual(2, client.opened)
