Keep a range released while a handover uses its release

Cause: a handover releases its ranges as a batch, which takes up to 1.5 s if one release is not answered. If the planner cancelled and planned the move again in that time, the thread that renews grants took the range for a cancelled one: it was held and granted again and got requests, and then went to its next owner with the token of the first release. A copy of the table from before the handover did the same after it. An answered release also left the range as held on this node until its grant would have ended.

Change: fences of a handover stay released until it has ended, and for good if it gave the range away. An answered release ends the grant, so a range whose move stays cancelled is granted anew.

Result: three tests in test_grants.py fail before and hold now.

--- a/packages/assignment/src/waxwinglever_assignment/grants.py
+++ b/packages/assignment/src/waxwinglever_assignment/grants.py
@@ -81,6 +81,10 @@
         fence.
       ranges: The ranges of `grant_end_s`, by fence.
       releasing: Fences of ranges that are released or being released.
+      handing_over: Fences of ranges that are being handed over, or were and are
+        still this node's in its copy of the table. They stay in `releasing`
+        even if the copy shows that their move was cancelled: a release that is
+        answered already may still move them.
       latest_grant_end_s: Latest end of any grant that was sent.
       instance: Id of the run of the backend server that the grants went to.
       unanswered: Latest end of each unanswered grant, by its first and last
@@ -102,6 +106,7 @@
     grant_end_s: dict[int, float] = attrs.field(factory=dict)
     ranges: dict[int, tables.Range] = attrs.field(factory=dict)
     releasing: set[int] = attrs.Factory(set)
+    handing_over: set[int] = attrs.Factory(set)
     # The previous run of the daemon may have granted ranges just before.
     latest_grant_end_s: float = attrs.Factory(
         lambda self: self.now() + sessions.TAKEOVER_WAIT_S, takes_self=True
@@ -262,13 +267,15 @@
             if table is not None:
                 # A range whose move was cancelled is granted again, unless the
                 # record of its move was lost in a restore of the store.
-                grant_manager.releasing &= {
-                    item.fence for item in owned if item.to_node
-                } | {
-                    fence
-                    for fence, item in grant_manager.ranges.items()
-                    if not tables.is_current(item, table.era)
-                }
+                grant_manager.releasing &= (
+                    {item.fence for item in owned if item.to_node}
+                    | grant_manager.handing_over
+                    | {
+                        fence
+                        for fence, item in grant_manager.ranges.items()
+                        if not tables.is_current(item, table.era)
+                    }
+                )
             due_s = grant_manager.now() + RENEW_BELOW_S
             due = [
                 item
@@ -295,6 +302,7 @@
             grant_manager.grant_end_s.clear()
             grant_manager.ranges.clear()
             grant_manager.releasing.clear()
+            grant_manager.handing_over.clear()
             grant_manager.unanswered.clear()
 
 
@@ -309,6 +317,7 @@
     """
     known = {item.fence: item for item in current_ranges(grant_manager, table)}
     with grant_manager.lock:
+        grant_manager.handing_over &= set(known)
         for fence, item in list(grant_manager.ranges.items()):
             if fence in known:
                 grant_manager.ranges[fence] = known[fence]
@@ -413,8 +422,29 @@
         # to its new owner and would have no owner that serves it.
         return
     sync_ranges(grant_manager, table)
+    fences = {item.fence for item in moving}
     with grant_manager.lock:
-        grant_manager.releasing |= {item.fence for item in moving}
+        grant_manager.releasing |= fences
+        grant_manager.handing_over |= fences
+    moved: set[int] = set()
+    try:
+        tokens = release_moving(grant_manager, member, moving)
+        moved = reassign(grant_manager, tokens)
+    finally:
+        with grant_manager.lock:
+            grant_manager.handing_over -= fences - moved
+
+
+def release_moving(
+    grant_manager: GrantManager,
+    member: fleet_view.Member,
+    moving: list[tables.Range],
+) -> dict[int, str]:
+    """Releases ranges whose fences are in `releasing`.
+
+    Returns:
+      The handover tokens of the ranges that are released, by fence.
+    """
     with grant_manager.send_lock:
         # Wait for renewals that are being sent, as they must not arrive after
         # the release. Later ones skip the ranges in `releasing`.
@@ -424,11 +454,9 @@
         # The backend server can't be asked for a release, so wait until all
         # grants have expired.
         if grant_manager.now() < grant_manager.latest_grant_end_s:
-            return
-        tokens = {item.fence: "" for item in moving}
-    else:
-        tokens = release(grant_manager, moving)
-    reassign(grant_manager, tokens)
+            return {}
+        return {item.fence: "" for item in moving}
+    return release(grant_manager, moving)
 
 
 def release(
@@ -442,9 +470,11 @@
 
     def release_range(item: tables.Range) -> tuple[int, str | None]:
         try:
-            return item.fence, grant_manager.grant_calls.release(
-                item, RELEASE_TIMEOUT_S
-            )
+            token = grant_manager.grant_calls.release(item, RELEASE_TIMEOUT_S)
+            with grant_manager.lock:
+                if item.fence in grant_manager.grant_end_s:
+                    grant_manager.grant_end_s[item.fence] = float("-inf")
+            return item.fence, token
         except exceptions.WaxwingleverError as error:
             grant_manager.log(
                 "release-unanswered", fence=item.fence, error=error.message
@@ -486,28 +516,36 @@
     )
 
 
-def reassign(grant_manager: GrantManager, tokens: Mapping[int, str]) -> None:
+def reassign(
+    grant_manager: GrantManager, tokens: Mapping[int, str]
+) -> set[int]:
     """Writes the new owners of released ranges to the ownership table.
 
     Args:
       grant_manager: State of the grants.
       tokens: Handover tokens of the released ranges, by fence.
 
+    Returns:
+      Fences of the ranges that have a new owner.
+
     Raises:
       Conflict: Other nodes changed the table at each attempt.
       StoreUnavailable: The store did not answer.
     """
     table = usable_table(grant_manager)
     if table is None or not tokens:
-        return
+        return set()
+    moved: set[int] = set()
 
     def reassigned(current: tables.OwnershipTable) -> tables.OwnershipTable:
-        return tables.update_ranges(
-            current, reassignments(grant_manager, current, tokens)
-        )
+        changes = reassignments(grant_manager, current, tokens)
+        moved.clear()
+        moved.update(changes)
+        return tables.update_ranges(current, changes)
 
     commits.update(grant_manager.store, table, reassigned)
-    grant_manager.log("ranges-handed-over", fences=sorted(tokens))
+    grant_manager.log("ranges-handed-over", fences=sorted(moved))
+    return moved
 
 
 def reassignments(
--- a/packages/assignment/tests/test_grants.py
+++ b/packages/assignment/tests/test_grants.py
@@ -275,6 +275,88 @@
         moving.join(5)
         self.assertEqual(["grant"] * 4 + ["release"], calls)
 
+    def cancel_first_move(self):
+        """Cancels the planned move, and lets the node see and act on it."""
+        self.write(
+            tables.update_ranges(
+                self.table(), {FIRST_FENCE: {"to_node": tables.NO_OWNER}}
+            )
+        )
+        self.refresh()
+        grants.renew_grants(self.grant_manager)
+
+    def hand_over_beside(self, during_release) -> None:
+        """Hands over the first range; calls a function during its release."""
+        release = self.server.release
+
+        def release_beside(*args):
+            token = release(*args)
+            during_release()
+            return token
+
+        self.grant_manager.grant_calls = grants.GrantCalls(
+            self.server.grant, release_beside
+        )
+        grants.hand_over_ranges(self.grant_manager)
+
+    def test_range_is_not_granted_again_while_its_release_is_used(self):
+        # The move was cancelled and planned again while other ranges of the
+        # batch were released. The range was granted and got requests between,
+        # and then went to its next owner with the token of the first release.
+        grants.renew_grants(self.grant_manager)
+        self.add_other_member()
+        self.plan_first_move()
+        held = []
+
+        def cancel_and_plan_again():
+            self.cancel_first_move()
+            held.append(grants.held_fence(self.grant_manager, 0))
+            self.plan_first_move()
+
+        self.hand_over_beside(cancel_and_plan_again)
+        self.assertEqual([FIRST_FENCE], self.server.released)
+        self.assertEqual([None], held)
+        self.refresh()
+        self.assertEqual("n2", tables.range_at(self.table(), 0).node)
+
+    def test_range_whose_move_stays_cancelled_is_granted_again(self):
+        grants.renew_grants(self.grant_manager)
+        self.add_other_member()
+        self.plan_first_move()
+        self.server.granted.clear()
+        self.hand_over_beside(self.cancel_first_move)
+        self.refresh()
+        grants.renew_grants(self.grant_manager)
+        self.assertIn(FIRST_FENCE, [f for f, _ in self.server.granted])
+        self.assertEqual("n1", tables.range_at(self.table(), 0).node)
+
+    def test_range_that_was_handed_over_is_not_granted_by_an_old_copy(self):
+        # The copy may still show the cancelled move, from before the handover.
+        grants.renew_grants(self.grant_manager)
+        self.add_other_member()
+        self.plan_first_move()
+        key = fleet_view.part_key("dispatch", tables.part_of(0))
+        cancelled = []
+
+        def cancel_and_plan_again():
+            for node in (tables.NO_OWNER, "n2"):
+                self.write(
+                    tables.update_ranges(
+                        self.table(), {FIRST_FENCE: {"to_node": node}}
+                    )
+                )
+                cancelled.append(self.memory_store.items[key])
+
+        self.hand_over_beside(cancel_and_plan_again)
+        self.assertEqual("n2", tables.range_at(self.table(), 0).node)
+        replica = self.node.replica
+        replica.items = {**replica.items, key: cancelled[0]}
+        replica.revision += 1
+        self.server.granted.clear()
+        grants.renew_grants(self.grant_manager)
+        self.assertNotIn(FIRST_FENCE, [f for f, _ in self.server.granted])
+        self.assertIsNone(grants.held_fence(self.grant_manager, 0))
+
     def test_moving_piece_of_a_split_range_is_not_held(self):
         grants.renew_grants(self.grant_manager)
         table = tables.split_range(self.table(), FIRST_FENCE, [1_000])
