Log which requests were in flight when a backend server crashed

On-call engineers could not put together the ends of one request at several daemons: `backend-crashed` had only the number of suspects, and a lost response of a server that could still be reached left no line. `backend-crashed` now has the fingerprints, and `response-lost` names the request and its fingerprint. The test of the lines fails without the change.

--- a/packages/relay/src/waxwinglever_relay/delivery.py
+++ b/packages/relay/src/waxwinglever_relay/delivery.py
@@ -223,6 +223,13 @@
 ) -> None:
     """Reports a crash if the backend server is down after a lost response."""
     if local_delivery.backend_sender.is_reachable():
+        local_delivery.log(
+            "response-lost",
+            life=local_delivery.backend.boot_id,
+            request=request.request_id,
+            fingerprint=messages.fingerprint(request),
+            error=error.message,
+        )
         return
     verdict = gates.record_crash(local_delivery.backend.gate)
     local_delivery.log(
@@ -230,8 +237,8 @@
         life=local_delivery.backend.boot_id,
         request=request.request_id,
         error=error.message,
-        suspects=len(verdict.suspects),
-        convicted=len(verdict.convicted),
+        suspects=list(verdict.suspects),
+        convicted=list(verdict.convicted),
     )
     backend_state.mark_down(
         local_delivery.backend, "connections fail after a lost answer"
--- a/packages/relay/tests/test_delivery.py
+++ b/packages/relay/tests/test_delivery.py
@@ -96,6 +96,23 @@
         self.assertRaises(exceptions.OutcomeUnknown, self.deliver)
         self.assertEqual(fleet_view.DOWN, self.local_delivery.backend.state)
 
+    def test_lost_response_is_logged_with_the_requests_concerned(self):
+        # The ends of one request at several daemons could not be put together.
+        lines = []
+        self.local_delivery.log = lambda event, **fields: lines.append(
+            (event, fields)
+        )
+        self.fake_backend.results = [LOST]
+        fingerprint = messages.fingerprint(self.build.make_request(self.clock))
+        self.assertRaises(exceptions.OutcomeUnknown, self.deliver)
+        self.fake_backend.up = False
+        self.assertRaises(exceptions.OutcomeUnknown, self.deliver)
+        self.assertEqual(
+            ["response-lost", "backend-crashed"], [event for event, _ in lines]
+        )
+        self.assertEqual(fingerprint, lines[0][1]["fingerprint"])
+        self.assertEqual([fingerprint], lines[1][1]["suspects"])
+
     def test_refused_connection_marks_the_server_down(self):
         self.fake_backend.results = [REFUSED]
         self.fake_backend.up = False
