Recognise a crashing request on the VMs of other services

A request that had crashed backend servers was a new one to every daemon when it came to a VM of another service, as its fingerprint held the service of the VM where it began. The same path and body can come to any VM, so the fingerprint leaves that service out.

--- a/packages/relay/src/waxwinglever_relay/messages.py
+++ b/packages/relay/src/waxwinglever_relay/messages.py
@@ -93,9 +93,13 @@
 
 
 def fingerprint(request: Request) -> str:
-    """Returns a hash that is equal for all of a caller's attempts."""
+    """Returns a hash that is equal for all attempts, wherever they begin.
+
+    The service on whose VM an attempt begins is not part of it: the same
+    request may come to any VM.
+    """
     digest = hashlib.blake2b(digest_size=12)
-    for part in (request.caller, request.method, request.target):
+    for part in (request.method, request.target):
         digest.update(part.encode("utf-8", "surrogateescape"))
         digest.update(b"\0")
     digest.update(request.body)
