Share the evidence of crashes with all daemons of the platform

Callers saw one server after the other end under one request: each daemon kept what it learned from a crash to itself and needed two crashes, so that ten servers ended twenty times, and more after restarts of daemons.

The response of the second hop tells the daemon where the request began, and a forwarded request tells what its sender knows, so that a retry is no first crash again and an outage of the store leaves some protection.

Evidence is a chain: a crash counts as the next one only if the earlier ones were known when the run began. A run that completes clears it. One crash alone slows nothing elsewhere.

--- a/packages/admission/src/waxwinglever_admission/gate.py
+++ b/packages/admission/src/waxwinglever_admission/gate.py
@@ -86,11 +86,13 @@
       request_class: Name of its class.
       deadline_s: When the caller stops waiting.
       fingerprint: Identifies the request; the same for all attempts.
+      known_chain: Chain of crashes of which its sender knows, see `quarantine`.
     """
 
     request_class: str
     deadline_s: float
     fingerprint: str
+    known_chain: int = 0
 
 
 @attrs.frozen
@@ -120,6 +122,7 @@
       entry: Its entry in that queue.
       refusal: The error to raise if it was refused while it waited.
       boot_id: Boot id of the backend server at dispatch.
+      known_chain: Its chain of crashes that was known at dispatch.
       crashed: Whether the backend server crashed while it ran.
       cleared: Whether it was a suspect and completed. The caller then reports
         this to the service's other daemons.
@@ -134,6 +137,7 @@
     entry: queueing.QueueEntry | None = None
     refusal: exceptions.Refusal | None = None
     boot_id: str | None = None
+    known_chain: int = 0
     crashed: bool = False
     cleared: bool = False
 
@@ -177,6 +181,8 @@
       fingerprints: Fingerprints of suspect and convicted requests.
       past_boot_ids: Boot ids that were replaced.
       crashed_boot_ids: Boot ids whose crash was counted.
+      report_evidence: Called under the lock with the evidence of each crash,
+        and of suspects that complete.
     """
 
     policy: Policy
@@ -211,6 +217,9 @@
     crashed_boot_ids: collections.deque[str | None] = attrs.Factory(
         lambda: collections.deque(maxlen=MAX_BOOT_IDS)
     )
+    report_evidence: Callable[[quarantine.CrashEvidence], None] = attrs.field(
+        default=quarantine.discard_evidence
+    )
 
 
 @contextlib.contextmanager
@@ -264,6 +273,8 @@
     """
     with gate.lock:
         now_s = gate.now()
+        if request_info.known_chain:
+            adopt_chain(gate, request_info)
         if quarantine.is_convicted(gate.fingerprints, request_info.fingerprint):
             raise quarantined_error()
         if gate.draining:
@@ -355,8 +366,9 @@
         fingerprint = admission.request_info.fingerprint
         if completed and not admission.crashed:
             if quarantine.is_suspect(gate.fingerprints, fingerprint):
-                quarantine.clear_suspects(gate.fingerprints, [fingerprint])
                 admission.cleared = True
+                report_completed(gate, admission)
+            quarantine.clear_suspects(gate.fingerprints, [fingerprint])
         if service_s is not None:
             record_service_time(gate, admission.request_class, service_s)
         dispatch(gate)
@@ -413,17 +425,31 @@
             dispatch(gate)
             return CrashVerdict()
         gate.crashed_boot_ids.append(boot_id)
-        fingerprints = tuple(a.request_info.fingerprint for a in affected)
-        if gate.exclusive is not None and list(gate.running) == [
-            gate.exclusive
-        ]:
-            verdict = CrashVerdict(convicted=fingerprints)
-        else:
-            verdict = CrashVerdict(suspects=fingerprints)
+        evidence = add_crash(gate, boot_id, affected)
+        verdict = CrashVerdict(*quarantine.split_by_verdict(evidence))
         update_quarantine(gate, verdict.suspects, verdict.convicted, ())
         return verdict
 
 
+def apply_evidence(gate: Gate, evidence: quarantine.CrashEvidence) -> None:
+    """Applies the evidence of a crash that another daemon has seen."""
+    with gate.lock:
+        quarantine.add_evidence(gate.fingerprints, evidence)
+        requeue_waiting(gate)
+
+
+def known_chain(gate: Gate, fingerprint: str) -> int:
+    """Returns the known chain of crashes of a request.
+
+    Raises:
+      Quarantined: The request is convicted.
+    """
+    with gate.lock:
+        if quarantine.is_convicted(gate.fingerprints, fingerprint):
+            raise quarantined_error()
+        return quarantine.known_chain(gate.fingerprints, fingerprint)
+
+
 def apply_crash_report(
     gate: Gate,
     suspects: Iterable[str],
@@ -474,6 +500,51 @@
 # The caller of the functions below must hold the lock.
 
 
+def adopt_chain(gate: Gate, request_info: RequestInfo) -> None:
+    """Adds the crashes of a request of which only its sender knows."""
+    fingerprint = request_info.fingerprint
+    known = quarantine.known_chain(gate.fingerprints, fingerprint)
+    if request_info.known_chain > known:
+        quarantine.add_evidence(
+            gate.fingerprints,
+            quarantine.CrashEvidence(
+                "", {fingerprint: request_info.known_chain}
+            ),
+        )
+
+
+def add_crash(
+    gate: Gate, boot_id: str | None, affected: Iterable[Admission]
+) -> quarantine.CrashEvidence:
+    """Adds and reports the evidence of a crash; returns it.
+
+    Args:
+      gate: The gate.
+      boot_id: Boot id of the process that crashed.
+      affected: The runs that were in flight.
+    """
+    evidence = quarantine.make_evidence(
+        boot_id or "",
+        [(a.request_info.fingerprint, a.known_chain) for a in affected],
+    )
+    if evidence.chains:
+        quarantine.add_evidence(gate.fingerprints, evidence)
+        gate.report_evidence(evidence)
+    return evidence
+
+
+def report_completed(gate: Gate, admission: Admission) -> None:
+    """Reports that a suspect completed, if others suspect it as well."""
+    fingerprint = admission.request_info.fingerprint
+    history = quarantine.find_history(gate.fingerprints, fingerprint)
+    if history is not None and len(history.boot_ids) > 1:
+        gate.report_evidence(
+            quarantine.CrashEvidence(
+                admission.boot_id or "", {fingerprint: quarantine.COMPLETED}
+            )
+        )
+
+
 def limit(gate: Gate) -> int:
     """Returns how many requests may be in flight now."""
     if gate.probing:
@@ -653,10 +724,15 @@
     queueing.charge(queue, admission.request_class)
     admission.state = RUNNING
     admission.boot_id = gate.boot_id
+    admission.known_chain = quarantine.known_chain(
+        gate.fingerprints, admission.request_info.fingerprint
+    )
     gate.running[admission] = None
     if queue is gate.suspects:
         gate.exclusive = admission
         gate.hold_end_s = None
+        # A suspect that another daemon has reported may have no history here.
+        admission.known_chain = max(1, admission.known_chain)
     else:
         gate.ordinary_left -= 1
     if len(gate.running) > limit(gate):
@@ -719,6 +795,12 @@
     quarantine.add_suspects(table, suspects)
     quarantine.add_convicted(table, convicted)
     quarantine.clear_suspects(table, cleared)
+    requeue_waiting(gate)
+
+
+def requeue_waiting(gate: Gate) -> None:
+    """Requeues or refuses waiting requests after a change of the quarantine."""
+    table = gate.fingerprints
     for admission in waiting_admissions(gate):
         if quarantine.is_convicted(table, admission.request_info.fingerprint):
             refuse(gate, admission, quarantined_error())
@@ -761,6 +843,6 @@
 def quarantined_error() -> exceptions.Quarantined:
     """Returns the refusal of a convicted request."""
     return exceptions.Quarantined(
-        "this request crashed a backend server while it ran alone",
+        "this request crashed one backend server after the other",
         "do not send it again; report it to the operators of the service",
     )
--- a/packages/hops/src/waxwinglever_hops/forwarding.py
+++ b/packages/hops/src/waxwinglever_hops/forwarding.py
@@ -57,6 +57,8 @@
       target_s: Time until the end of the target latency.
       left_s: Time until the deadline.
       keyed: Whether the service is sharded by key.
+      known_chain: Its chain of crashes that the sender knows. Daemons of
+        earlier versions don't send it.
     """
 
     request_id: str
@@ -68,6 +70,7 @@
     target_s: float
     left_s: float
     keyed: bool
+    known_chain: int = 0
 
 
 def make_forwarder(
@@ -99,6 +102,7 @@
             round(request.latency_target_s - now_s, 4),
             round(request.deadline_s - now_s, 4),
             request.keyed,
+            request.known_chain,
         )
         headers = dict(request.headers)
         headers[HOP_HEADER] = msgspec.json.encode(hop).decode()
@@ -150,9 +154,10 @@
             "check that all daemons run the same version",
         )
     details = json.loads(response.body)
-    raise REFUSALS_BY_KIND[outcome](
-        details["message"], details["remedy"], details["retry_after_ms"]
-    )
+    fields = (details["message"], details["remedy"], details["retry_after_ms"])
+    if details.get("crash_chain"):
+        raise messages.ServerCrashed(*fields, details["crash_chain"])
+    raise REFUSALS_BY_KIND[outcome](*fields)
 
 
 # Headers between two daemons that the ingress daemon does not pass on.
@@ -286,6 +291,7 @@
         latency_target_s=now_s + hop.target_s,
         deadline_s=min(now_s + hop.left_s, latest_deadline_s),
         keyed=hop.keyed,
+        known_chain=hop.known_chain,
     )
 
 
@@ -298,6 +304,8 @@
         "remedy": error.remedy,
         "retry_after_ms": error.retry_after_ms,
     }
+    if isinstance(error, messages.ServerCrashed):
+        body["crash_chain"] = error.chain
     return server.HttpResponse(
         error.status,
         ((OUTCOME_HEADER, error.kind),),
--- a/packages/relay/src/waxwinglever_relay/delivery.py
+++ b/packages/relay/src/waxwinglever_relay/delivery.py
@@ -88,16 +88,19 @@
         loads.record_request(local_delivery.load_meter, request.shard)
     wait_for_cold_start(local_delivery, request)
     request_info = gates.RequestInfo(
-        request.route, request.deadline_s, messages.fingerprint(request)
+        request.route,
+        request.deadline_s,
+        messages.fingerprint(request),
+        request.known_chain,
     )
     with gates.admit(
         local_delivery.backend.gate,
         request_info,
         lambda: check_accepts(local_delivery, request),
-    ):
+    ) as admission:
         if caller is not None and caller.is_closed():
             raise messages.caller_disconnected_error()
-        return run_admitted(local_delivery, request, caller)
+        return run_admitted(local_delivery, request, admission, caller)
 
 
 def check_accepts(
@@ -170,6 +173,7 @@
 def run_admitted(
     local_delivery: LocalDelivery,
     request: messages.Request,
+    admission: gates.Admission,
     caller: messages.CallerConnection | None,
 ) -> messages.Response:
     """Sends an admitted request and returns the response.
@@ -191,11 +195,13 @@
             "find out whether the request took effect",
         ) from error
     except http_client.ResponseLost as error:
-        check_for_crash(local_delivery, request, error)
-        raise exceptions.OutcomeUnknown(
-            f"the answer was lost: {error.message}",
-            "find out whether the request took effect",
-        ) from error
+        message = f"the answer was lost: {error.message}"
+        remedy = "find out whether the request took effect"
+        if check_for_crash(local_delivery, request, error):
+            raise messages.ServerCrashed(
+                message, remedy, chain=admission.known_chain + 1
+            ) from error
+        raise exceptions.OutcomeUnknown(message, remedy) from error
     local_delivery.connect_failures = 0
     return response
 
@@ -220,8 +226,11 @@
     local_delivery: LocalDelivery,
     request: messages.Request,
     error: http_client.ResponseLost,
-) -> None:
-    """Reports a crash if the backend server is down after a lost response."""
+) -> bool:
+    """Records a lost response; returns whether the backend server crashed.
+
+    It counts as crashed if it is down now.
+    """
     if local_delivery.backend_sender.is_reachable():
         local_delivery.log(
             "response-lost",
@@ -230,7 +239,7 @@
             fingerprint=messages.fingerprint(request),
             error=error.message,
         )
-        return
+        return False
     verdict = gates.record_crash(local_delivery.backend.gate)
     local_delivery.log(
         "backend-crashed",
@@ -243,6 +252,7 @@
     backend_state.mark_down(
         local_delivery.backend, "connections fail after a lost answer"
     )
+    return True
 
 
 def backend_unavailable_error(reason: str) -> exceptions.BackendUnavailable:
--- a/packages/relay/src/waxwinglever_relay/ingress.py
+++ b/packages/relay/src/waxwinglever_relay/ingress.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from waxwinglever_admission import gate as gates
+from waxwinglever_admission import quarantine
 from waxwinglever_assignment import fleet_view
 from waxwinglever_assignment import replicas
 from waxwinglever_assignment import tables
@@ -105,6 +107,7 @@
       CallerDisconnected: The caller has closed its connection.
     """
     budgets.deposit(retry_budget(ingress_router, request.service))
+    request = add_known_chain(ingress_router, request)
     while True:
         attempts.fleet_revision = ingress_router.fleet.replica.revision
         member = choose_node(ingress_router, request, attempts)
@@ -116,11 +119,46 @@
                 ingress_router, request, attempts, caller
             ):
                 raise
-        except exceptions.OutcomeUnknown:
+        except exceptions.OutcomeUnknown as error:
+            if isinstance(error, messages.ServerCrashed):
+                request = record_crash(ingress_router, request, error)
             if not should_retry_unknown(ingress_router, request, attempts):
                 raise
 
 
+def add_known_chain(
+    ingress_router: IngressRouter, request: messages.Request
+) -> messages.Request:
+    """Returns the request with the chain of crashes that this node knows of.
+
+    Raises:
+      Quarantined: The request has crashed one backend server after the other.
+    """
+    gate = ingress_router.local_delivery.backend.gate
+    if not quarantine.has_records(gate.fingerprints):
+        return request
+    chain = gates.known_chain(gate, messages.fingerprint(request))
+    return attrs.evolve(request, known_chain=chain) if chain else request
+
+
+def record_crash(
+    ingress_router: IngressRouter,
+    request: messages.Request,
+    error: messages.ServerCrashed,
+) -> messages.Request:
+    """Records a crash by a request; returns the request with its new chain.
+
+    The crash must be known here before the request is sent again.
+    """
+    gates.apply_evidence(
+        ingress_router.local_delivery.backend.gate,
+        quarantine.CrashEvidence(
+            "", {messages.fingerprint(request): error.chain}
+        ),
+    )
+    return attrs.evolve(request, known_chain=error.chain)
+
+
 def attempt(
     ingress_router: IngressRouter,
     member: fleet_view.Member,
@@ -295,10 +333,12 @@
 ) -> bool:
     """Returns whether to retry a request whose outcome is unknown.
 
-    A retry takes a token of the retry budget.
+    A retry takes a token of the retry budget. A request that may have caused
+    several crashes is not retried.
     """
     return (
         request.idempotent
+        and request.known_chain < quarantine.SUSPECT_CHAIN
         and attempts.delivered < request.max_attempts
         and has_time_for_retry(ingress_router, request)
         and budgets.withdraw(retry_budget(ingress_router, request.service))
--- a/packages/relay/src/waxwinglever_relay/messages.py
+++ b/packages/relay/src/waxwinglever_relay/messages.py
@@ -29,6 +29,8 @@
       deadline_s: When the response is due at the latest, on the boot clock.
       keyed: Whether the service is sharded by key.
       max_attempts: Maximum number of backend servers that it may be sent to.
+      known_chain: Its chain of crashes, as far as its sender knows; see
+        admission.quarantine.
     """
 
     request_id: str
@@ -45,6 +47,7 @@
     deadline_s: float
     keyed: bool = False
     max_attempts: int = 1
+    known_chain: int = 0
 
 
 @attrs.frozen
@@ -85,6 +88,24 @@
     kind = "shed"
 
 
+class ServerCrashed(exceptions.OutcomeUnknown):
+    """The backend server crashed while it ran the request.
+
+    Attributes:
+      chain: Chain of crashes of the request, see admission.quarantine.
+    """
+
+    def __init__(
+        self,
+        message: str,
+        remedy: str,
+        retry_after_ms: int | None = None,
+        chain: int = 1,
+    ):
+        super().__init__(message, remedy, retry_after_ms)
+        self.chain = chain
+
+
 def caller_disconnected_error() -> CallerDisconnected:
     """Returns the error for a request whose caller has disconnected."""
     return CallerDisconnected(
--- a/packages/relay/tests/conftest.py
+++ b/packages/relay/tests/conftest.py
@@ -84,11 +84,14 @@
         return result
 
 
-def make_local_delivery(clock, service: str = "dispatch"):
+def make_local_delivery(clock, service: str = "dispatch", memory_store=None):
     """Returns a LocalDelivery, its fake backend server and its in-memory store.
 
     The backend server is ready and holds the shards 0 to 99.
     """
+    memory_store = memory_store or memory_leased_store.MemoryLeasedStore(
+        now=clock
+    )
     fake_backend = FakeBackend()
     backend = backend_state.BackendState(
         "127.0.0.1:1",
@@ -102,7 +105,6 @@
     backend_state.apply_announcement(
         backend, backend_state.Announcement("i1", 1, 1, service, 2, False, 0.0)
     )
-    memory_store = memory_leased_store.MemoryLeasedStore(now=clock)
     store = memory_leased_store.connect(memory_store)
     replica = replicas.Replica(store, fleet_view.PREFIX, discard)
     session = sessions.Session(
