Send a backend server no more requests than it says it takes

A server that named a limit in its answers (Server-Limit, requests a second from all machines together) got up to 1.7 times what is allowed: nothing read the header. All requests to a server pass the gate of the daemon beside it, so that gate starts them at the rate of the limit, for as long as the answers name one. At most a quarter of a second of requests waits; the others are refused at once with 429 (rate-limited) and a time to return that differs for each caller. Classes share the limit by their weights. A limit of 0 lets one request in 2 s through, as only an answer shows its end. A limit that is no decimal number leaves the one before.

The limit would be lost in a restart of that daemon. Responses between daemons therefore carry it, and forwarded requests tell what was last heard of this run of the server, which counts until the server's first own answer. Load reports name the limit, so that the planner gives such a server fewer ranges.

--- a/packages/admission/src/waxwinglever_admission/gate.py
+++ b/packages/admission/src/waxwinglever_admission/gate.py
@@ -9,6 +9,7 @@
 
 import collections
 import contextlib
+import math
 import threading
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -19,6 +20,7 @@
 from waxwinglever_admission import quarantine
 from waxwinglever_admission import queueing
 from waxwinglever_admission import ramp
+from waxwinglever_admission import rate_limits
 from waxwinglever_model import clock
 from waxwinglever_model import exceptions
 from waxwinglever_model import limits
@@ -151,6 +153,7 @@
     """A copy of a gate's state for status pages and metrics."""
 
     limit: int
+    rate_limit_per_s: float
     in_flight: int
     waiting: int
     waiting_suspects: int
@@ -182,6 +185,7 @@
       timer_s: When the limit rises next or the hold ends.
       service_s: Moving average of the service time of each class.
       mean_service_s: Moving average of the service time of all requests.
+      rate_limit: Limit on the requests a second that the server has named.
       fingerprints: Fingerprints of suspect and convicted requests.
       past_boot_ids: Boot ids that were replaced.
       crashed_boot_ids: Boot ids whose crash was counted.
@@ -214,6 +218,7 @@
     timer_s: float | None = None
     service_s: dict[str, float] = attrs.Factory(dict)
     mean_service_s: float = 0.0
+    rate_limit: rate_limits.RateLimit = attrs.Factory(rate_limits.RateLimit)
     fingerprints: quarantine.Quarantine = attrs.Factory(
         lambda self: quarantine.Quarantine(self.now), takes_self=True
     )
@@ -250,6 +255,7 @@
     Raises:
       Overloaded: The deadline would pass before the request is done, or the
         queue is full.
+      RateLimited: The same, because the server limits its requests a second.
       ShareExceeded: The queue is full and the class is over its share.
       Draining: The gate is closed (see `close`).
       Quarantined: The request is convicted of a crash.
@@ -288,6 +294,9 @@
             raise quarantined_error()
         if gate.draining:
             raise draining_error()
+        if rate_limits.is_limited(gate.rate_limit):
+            # A waiting request may be due whose thread has not woken yet.
+            dispatch(gate)
         weights = gate.policy.weights
         has_weight = request_info.request_class in weights
         request_class = (
@@ -299,12 +308,12 @@
         )
         wait_s = expected_wait_s(gate, admission)
         if now_s + wait_s >= admission.latest_start_s:
-            raise overloaded_error("the deadline would pass first", wait_s)
+            raise unserved_error(gate, "the deadline would pass first", wait_s)
         waiting_count = gate.ordinary.size + gate.suspects.size
         # A request that starts at once doesn't count against the queue limit.
-        if waiting_count >= gate.policy.queue_limit and not starts_now(
-            gate, admission
-        ):
+        if waiting_count >= rate_limits.max_waiting(
+            gate.rate_limit, gate.policy.queue_limit
+        ) and not starts_now(gate, admission):
             displace_or_refuse(gate, admission, wait_s)
         enqueue(gate, admission)
         dispatch(gate)
@@ -339,7 +348,9 @@
         now_s = gate.now()
         if admission.state == WAITING and now_s >= admission.latest_start_s:
             refuse(
-                gate, admission, overloaded_error("no slot was free in time")
+                gate,
+                admission,
+                unserved_error(gate, "no slot was free in time"),
             )
             dispatch(gate)
         elif gate.timer_waiter is admission:
@@ -497,6 +508,16 @@
         dispatch(gate)
 
 
+def set_rate_limit(gate: Gate, rate_per_s: float | None) -> None:
+    """Sets the requests a second that the server takes; None for no limit.
+
+    Requests that wait already are started at the new rate.
+    """
+    with gate.lock:
+        rate_limits.set_rate(gate.rate_limit, rate_per_s, gate.now())
+        dispatch(gate)
+
+
 def close(gate: Gate) -> None:
     """Refuses new and waiting requests; requests in flight go on."""
     with gate.lock:
@@ -510,6 +531,7 @@
     with gate.lock:
         return Snapshot(
             limit=limit(gate),
+            rate_limit_per_s=gate.rate_limit.rate_per_s,
             in_flight=len(gate.running),
             waiting=gate.ordinary.size,
             waiting_suspects=gate.suspects.size,
@@ -625,12 +647,34 @@
 
 
 def expected_wait_s(gate: Gate, admission: Admission) -> float:
-    """Returns how long a new request is expected to wait for a slot.
+    """Returns how long a new request is expected to wait.
 
     It assumes the current limit, so it is too long during a cold start.
     """
     if starts_now(gate, admission):
         return 0.0
+    return max(
+        expected_slot_wait_s(gate, admission),
+        expected_rate_wait_s(gate, admission),
+    )
+
+
+def expected_rate_wait_s(gate: Gate, admission: Admission) -> float:
+    """Returns how long the rate limit is expected to delay a new request."""
+    if is_suspect(gate, admission):
+        ahead = gate.suspects.size
+    else:
+        ahead = queueing.expected_ahead(
+            gate.ordinary,
+            admission.request_class,
+            admission.request_info.deadline_s,
+        )
+    now_s = gate.now()
+    return rate_limits.next_start_s(gate.rate_limit, now_s, ahead) - now_s
+
+
+def expected_slot_wait_s(gate: Gate, admission: Admission) -> float:
+    """Returns how long a new request is expected to wait for a slot."""
     if is_suspect(gate, admission):
         return gate.mean_service_s * (gate.suspects.size + 1)
     position = 1 + queueing.expected_ahead(
@@ -645,11 +689,24 @@
     """Returns whether a new request would get a slot at once."""
     if gate.exclusive is not None or gate.ordinary.size or gate.suspects.size:
         return False
+    if not has_token(gate):
+        return False
     if is_suspect(gate, admission):
         return not gate.running and not gate.probing
     return len(gate.running) < limit(gate)
 
 
+def is_rate_limited(gate: Gate) -> bool:
+    """Returns whether the rate limit, not the slots, holds requests back."""
+    return rate_limits.is_limited(gate.rate_limit) and not has_token(gate)
+
+
+def has_token(gate: Gate) -> bool:
+    """Returns whether the rate limit lets a request start now."""
+    now_s = gate.now()
+    return rate_limits.next_start_s(gate.rate_limit, now_s) <= now_s
+
+
 def is_suspect(gate: Gate, admission: Admission) -> bool:
     """Returns whether a request must run alone."""
     return quarantine.is_suspect(
@@ -670,13 +727,13 @@
     request_class = admission.request_class
     entry = queueing.choose_displaced(gate.ordinary, request_class)
     if entry is not None:
-        refuse(gate, entry.item, share_exceeded_error(entry.item, wait_s))
+        refuse(gate, entry.item, share_exceeded_error(gate, entry.item, wait_s))
         return
     if len(gate.ordinary.entries) > 1 and queueing.count(
         gate.ordinary, request_class
     ) >= gate.ordinary.size * queueing.share(gate.ordinary, request_class):
-        raise share_exceeded_error(admission, wait_s)
-    raise overloaded_error("the queue is full", wait_s)
+        raise share_exceeded_error(gate, admission, wait_s)
+    raise unserved_error(gate, "the queue is full", wait_s)
 
 
 def select_queue(gate: Gate, admission: Admission) -> queueing.Queue:
@@ -730,7 +787,7 @@
     while (queue := next_queue(gate)) is not None:
         admission = queueing.head(queue).item
         if gate.now() >= admission.latest_start_s:
-            late = overloaded_error("no slot was free in time")
+            late = unserved_error(gate, "no slot was free in time")
             refuse(gate, admission, late)
         elif queue is not select_queue(gate, admission):
             # Its suspicion expired while it waited.
@@ -756,11 +813,15 @@
             # The suspects' turn lasts until the requests in flight end.
             gate.ordinary_left = 0
             if not gate.running:
-                return gate.suspects
+                return gate.suspects if has_token(gate) else None
             if gate.hold_end_s is None and gate.ordinary.size:
                 gate.hold_end_s = gate.now() + MAX_HOLD_S
             return None
-    if gate.ordinary.size and len(gate.running) < limit(gate):
+    if (
+        gate.ordinary.size
+        and len(gate.running) < limit(gate)
+        and has_token(gate)
+    ):
         return gate.ordinary
     return None
 
@@ -776,6 +837,7 @@
     dequeue(admission)
     queueing.charge(queue, admission.request_class)
     admission.state = RUNNING
+    rate_limits.take(gate.rate_limit, gate.now())
     admission.boot_id = gate.boot_id
     admission.dispatched_s = gate.now()
     admission.known_chain = quarantine.known_chain(
@@ -801,26 +863,33 @@
 def schedule_timer(gate: Gate) -> None:
     """Chooses the waiting thread that wakes at the next timed change.
 
-    That is the next rise of the limit or the end of a hold.
+    That is the next rise of the limit, the end of a hold or the next start that
+    the rate limit allows.
     """
     policy = gate.policy
-    timer_s = None
+    times_s = []
     if gate.ordinary.size and not gate.probing:
-        timer_s = ramp.next_step_s(
+        rise_s = ramp.next_step_s(
             gate.now(),
             gate.ramp_start_s,
             policy.cold_start_slots,
             policy.slots,
             policy.cold_start_s,
         )
+        if rise_s is not None:
+            times_s.append(rise_s)
     if gate.hold_end_s is not None and gate.ordinary.size:
-        timer_s = min(timer_s or gate.hold_end_s, gate.hold_end_s)
+        times_s.append(gate.hold_end_s)
+    waiting = gate.ordinary if gate.ordinary.size else gate.suspects
+    if waiting.size and not has_token(gate):
+        times_s.append(rate_limits.next_start_s(gate.rate_limit, gate.now()))
+    timer_s = min(times_s, default=None)
     waiter = gate.timer_waiter
     if timer_s is None:
         gate.timer_waiter = None
     elif waiter is None or waiter.entry is None or timer_s != gate.timer_s:
         if waiter is None or waiter.entry is None:
-            waiter = queueing.head(gate.ordinary).item
+            waiter = queueing.head(waiting).item
         gate.timer_waiter = waiter
         waiter.woken.set()
     gate.timer_s = timer_s
@@ -873,13 +942,35 @@
     )
 
 
+def unserved_error(
+    gate: Gate, reason: str, wait_s: float = 0.0
+) -> exceptions.Overloaded | exceptions.RateLimited:
+    """Returns the refusal of a request for which there is no room."""
+    if not is_rate_limited(gate):
+        return overloaded_error(reason, wait_s)
+    delay_s = rate_limits.return_delay_s(
+        gate.rate_limit,
+        gate.now(),
+        gate.ordinary.size + gate.suspects.size,
+    )
+    return exceptions.RateLimited(
+        f"the backend server takes {gate.rate_limit.rate_per_s:g} requests a"
+        f" second: {reason}",
+        "try again after the given time",
+        retry_after_ms=math.ceil(delay_s * 1000),
+    )
+
+
 def share_exceeded_error(
-    admission: Admission, wait_s: float
-) -> exceptions.ShareExceeded:
+    gate: Gate, admission: Admission, wait_s: float
+) -> exceptions.NotExecuted:
     """Returns the refusal of a request whose class is over its share."""
+    request_class = admission.request_info.request_class
+    reason = f"class {request_class!r} is over its share of a full queue"
+    if is_rate_limited(gate):
+        return unserved_error(gate, reason)
     return exceptions.ShareExceeded(
-        f"class {admission.request_info.request_class!r} is over its share of"
-        " a full queue",
+        reason,
         "send fewer requests of this class, or raise its weight",
         retry_after_ms=int(wait_s * 1000),
     )
--- a/packages/admission/tests/test_gate.py
+++ b/packages/admission/tests/test_gate.py
@@ -1,7 +1,9 @@
 """Tests of waxwinglever_admission.gate."""
 
+import collections
 import threading
 
+import attrs
 import hypothesis
 import testtools
 from hypothesis import stateful
@@ -181,6 +183,86 @@
         self.assertEqual(0, gate.snapshot(state).in_flight)
 
 
+class RateLimitTest(testtools.TestCase):
+    """Guards against a limit that is exceeded, or that strands requests."""
+
+    def limited(self, rate_per_s=4.0):
+        """Returns a harness whose server names a limit."""
+        harness = Harness(FULL)
+        gate.set_rate_limit(harness.gate, rate_per_s)
+        return harness
+
+    def test_requests_start_at_the_rate_of_the_limit(self):
+        harness = self.limited()
+        starts_s = []
+        for _ in range(400):
+            try:
+                harness.send("x", timeout_s=1.0)
+            except exceptions.RateLimited:
+                pass
+            for admission in list(harness.running):
+                starts_s.append(harness.now_s)
+                harness.end(admission, service_s=0.01)
+            harness.sleep(0.02)
+        self.assertLessEqual(abs(len(starts_s) - 8.0 * 4.0), 1)
+
+    def test_request_that_waits_is_woken_for_its_token(self):
+        harness = self.limited()
+        harness.send("x")
+        harness.sleep(0.2)
+        self.assertEqual([], harness.running)
+        harness.sleep(0.05)
+        self.assertEqual(1, len(harness.running))
+
+    def test_suspect_that_waits_is_woken_for_its_token(self):
+        harness = self.limited()
+        gate.apply_crash_report(harness.gate, ["x"], [], [])
+        harness.send("x")
+        harness.sleep(0.25)
+        self.assertEqual(1, len(harness.running))
+
+    def test_end_of_the_limit_starts_waiting_requests(self):
+        harness = self.limited(1.0)
+        harness.send("x")
+        gate.set_rate_limit(harness.gate, None)
+        harness.wake()
+        self.assertEqual(1, len(harness.running))
+
+    def test_refused_caller_is_told_when_to_return(self):
+        harness = self.limited()
+        harness.send("x")
+        error = self.assertRaises(exceptions.RateLimited, harness.send, "y")
+        self.assertEqual(500, error.retry_after_ms)
+        error = self.assertRaises(exceptions.RateLimited, harness.send, "z")
+        self.assertEqual(750, error.retry_after_ms)
+
+    def test_request_that_would_miss_its_deadline_is_refused_at_once(self):
+        harness = self.limited(0.0)
+        self.assertRaises(
+            exceptions.RateLimited, harness.send, "x", timeout_s=1.0
+        )
+        self.assertEqual([], harness.waiting)
+
+    def test_urgent_class_gets_most_of_the_limit(self):
+        harness = Harness(
+            attrs.evolve(FULL, queue_limit=20, weights={"a": 4.0, "b": 1.0})
+        )
+        gate.set_rate_limit(harness.gate, 20.0)
+        served = collections.Counter()
+        for _ in range(400):
+            for name in "ab":
+                try:
+                    harness.send("x", name, 1.0)
+                except exceptions.NotExecuted:
+                    harness.wake()
+            for admission in list(harness.running):
+                served[admission.request_class] += 1
+                harness.end(admission, service_s=0.01)
+            harness.sleep(0.02)
+        self.assertGreater(served["a"], 2 * served["b"])
+        self.assertGreater(served["b"], 0)
+
+
 class QuarantineTest(testtools.TestCase):
     """Guards against wrong convictions and against repeated crashes."""
 
--- a/packages/assignment/src/waxwinglever_assignment/loads.py
+++ b/packages/assignment/src/waxwinglever_assignment/loads.py
@@ -44,12 +44,15 @@
       service_s: Mean time that a request occupies a slot; 0 when unknown.
       era: Era of the store that the node knows.
       held: Ranges that the node holds and whose record is older than this era.
+      rate_limit_per_s: Requests a second that the backend server takes, or None
+        if it names no limit.
     """
 
     rates: dict[int, float]
     service_s: float
     era: int = 0
     held: tuple[tables.Range, ...] = ()
+    rate_limit_per_s: float | None = None
 
 
 def bucket_of(shard: int) -> int:
@@ -88,6 +91,7 @@
     service_s: float,
     era: int = 0,
     held: tuple[tables.Range, ...] = (),
+    rate_limit_per_s: float | None = None,
 ) -> LoadReport:
     """Returns a report with the current rates and the other given fields."""
     with load_meter.lock:
@@ -96,7 +100,7 @@
             bucket: round(value / DECAY_TIME_S, 2)
             for bucket, value in load_meter.counts.items()
         }
-    return LoadReport(rates, service_s, era, held)
+    return LoadReport(rates, service_s, era, held, rate_limit_per_s)
 
 
 def merge_rates(reports: Mapping[str, LoadReport]) -> dict[int, float]:
--- a/packages/assignment/src/waxwinglever_assignment/planner.py
+++ b/packages/assignment/src/waxwinglever_assignment/planner.py
@@ -44,6 +44,8 @@
 # Share of its capacity that a backend server has during its cold start; in the
 # platform's deployments it serves about 22 of 70 requests a second then.
 COLD_CAPACITY_SHARE = 0.3
+# Capacity of a backend server that takes no requests at all.
+MIN_CAPACITY_PER_S = 0.5
 # Missing owners whose ranges one pass takes over. A transaction changes at
 # least one part, with a condition and a write, and has a condition for each
 # owner.
@@ -641,7 +643,8 @@
 ) -> dict[str, float]:
     """Returns the requests a second that each member can serve.
 
-    A member without a measured service time gets the mean of the others.
+    A member without a measured service time gets the mean of the others. No
+    member can serve more than its backend server takes.
     """
     known = [r.service_s for r in reports.values() if r.service_s > 0]
     mean_s = sum(known) / len(known) if known else DEFAULT_SERVICE_S
@@ -654,6 +657,11 @@
         found[member.name] = max(1, member.slots) / service_s
         if member.cold:
             found[member.name] *= COLD_CAPACITY_SHARE
+        if report and report.rate_limit_per_s is not None:
+            found[member.name] = min(
+                found[member.name],
+                max(report.rate_limit_per_s, MIN_CAPACITY_PER_S),
+            )
     return found
 
 
--- a/packages/hops/src/waxwinglever_hops/control.py
+++ b/packages/hops/src/waxwinglever_hops/control.py
@@ -98,17 +98,17 @@
     if target.startswith(CHANGES_PATH):
         return handle_changes(control, target.removeprefix(CHANGES_PATH))
     if target == LOAD_PATH:
-        service_s = gates.snapshot(
-            control.local_delivery.backend.gate
-        ).service_s
+        backend = control.local_delivery.backend
+        notice = backend.notice
         grant_manager = control.local_delivery.grant_manager
         # The era first: ranges must be held in the era that the report names.
         era = grant_manager.store.era()
         report = loads.make_report(
             control.local_delivery.load_meter,
-            service_s,
+            gates.snapshot(backend.gate).service_s,
             era,
             grants.ranges_held_since_restore(grant_manager),
+            None if notice is None else notice.rate_limit_per_s,
         )
         return server.HttpResponse(200, (), msgspec.json.encode(report))
     return server.HttpResponse(404, (), b"")
--- a/packages/hops/src/waxwinglever_hops/forwarding.py
+++ b/packages/hops/src/waxwinglever_hops/forwarding.py
@@ -18,6 +18,7 @@
 # Headers that are used between daemons only.
 HOP_HEADER = "X-Hop"
 OUTCOME_HEADER = "x-hop-outcome"
+NOTICE_HEADER = "x-hop-notice"
 # Outcome of a request that the backend server has answered.
 OUTCOME_RAN = "ran"
 # Added to the deadline, as the owner daemon responds by the deadline and its
@@ -31,6 +32,7 @@
         exceptions.NotOwner,
         exceptions.Overloaded,
         exceptions.ShareExceeded,
+        exceptions.RateLimited,
         exceptions.Draining,
         exceptions.BackendUnavailable,
         exceptions.OutcomeUnknown,
@@ -58,7 +60,8 @@
       left_s: Time until the deadline.
       keyed: Whether the service is sharded by key.
       known_chain: Its chain of crashes that the sender knows. Daemons of
-        earlier versions don't send it.
+        earlier versions send neither this nor `notice`.
+      notice: What the sender last heard of the backend server, if anything.
     """
 
     request_id: str
@@ -71,6 +74,7 @@
     left_s: float
     keyed: bool
     known_chain: int = 0
+    notice: messages.ServerNotice | None = None
 
 
 def make_forwarder(
@@ -103,6 +107,7 @@
             round(request.deadline_s - now_s, 4),
             request.keyed,
             request.known_chain,
+            request.notice,
         )
         headers = dict(request.headers)
         headers[HOP_HEADER] = msgspec.json.encode(hop).decode()
@@ -146,7 +151,9 @@
         headers = tuple(
             pair for pair in response.headers if pair[0] not in DROPPED_HEADERS
         )
-        return messages.Response(response.status, headers, response.body)
+        return messages.Response(
+            response.status, headers, response.body, decode_notice(response)
+        )
     if outcome not in REFUSALS_BY_KIND:
         raise exceptions.OutcomeUnknown(
             f"another daemon answered {response.status} without a known"
@@ -160,10 +167,27 @@
     raise REFUSALS_BY_KIND[outcome](*fields)
 
 
+def decode_notice(
+    response: http_client.Response,
+) -> messages.ServerNotice | None:
+    """Returns what the backend server says of itself, or None."""
+    text = response.header(NOTICE_HEADER)
+    if text is None:
+        return None
+    try:
+        return msgspec.json.decode(text, type=messages.ServerNotice)
+    except msgspec.MsgspecError as error:
+        raise exceptions.OutcomeUnknown(
+            f"another daemon sent an invalid notice: {error}",
+            "check that all daemons run the same version",
+        ) from error
+
+
 # Headers between two daemons that the ingress daemon does not pass on.
 DROPPED_HEADERS = frozenset(
     {
         OUTCOME_HEADER,
+        NOTICE_HEADER,
         "date",
         "server",
         "content-length",
@@ -228,9 +252,13 @@
     except exceptions.Refusal as error:
         log_delivery(endpoint, request, error.kind, began_s, error.message)
         return encode_refusal(error, endpoint.closing)
+    own_headers = ((OUTCOME_HEADER, OUTCOME_RAN),)
+    if response.notice is not None:
+        text = msgspec.json.encode(response.notice).decode()
+        own_headers += ((NOTICE_HEADER, text),)
     return server.HttpResponse(
         response.status,
-        response.headers + ((OUTCOME_HEADER, OUTCOME_RAN),),
+        response.headers + own_headers,
         response.body,
         endpoint.closing,
     )
@@ -292,6 +320,7 @@
         deadline_s=min(now_s + hop.left_s, latest_deadline_s),
         keyed=hop.keyed,
         known_chain=hop.known_chain,
+        notice=hop.notice,
     )
 
 
--- a/packages/hops/tests/test_forwarding.py
+++ b/packages/hops/tests/test_forwarding.py
@@ -2,11 +2,13 @@
 
 import json
 
+import msgspec
 import testtools
 
 from waxwinglever_hops import forwarding
 from waxwinglever_model import exceptions
 from waxwinglever_relay import http_client
+from waxwinglever_relay import messages
 
 
 class ForwardingTest(testtools.TestCase):
@@ -54,3 +56,18 @@
         self.assertEqual(
             (("x-own", "1"),), forwarding.decode_response(response).headers
         )
+
+    def test_notice_of_a_server_reaches_the_daemon_but_not_the_caller(self):
+        notice = messages.ServerNotice("i1@1", 14.5)
+        text = msgspec.json.encode(notice).decode()
+        response = http_client.Response(
+            200,
+            (
+                (forwarding.OUTCOME_HEADER, forwarding.OUTCOME_RAN),
+                (forwarding.NOTICE_HEADER, text),
+            ),
+            b"done",
+        )
+        decoded = forwarding.decode_response(response)
+        self.assertEqual(notice, decoded.notice)
+        self.assertEqual((), decoded.headers)
--- a/packages/model/src/waxwinglever_model/exceptions.py
+++ b/packages/model/src/waxwinglever_model/exceptions.py
@@ -92,6 +92,13 @@
     status = 429
 
 
+class RateLimited(NotExecuted):
+    """The backend server limits the requests a second that it takes."""
+
+    kind = "rate-limited"
+    status = 429
+
+
 class Draining(NotExecuted):
     """This node takes no new requests: it or its zone is being drained."""
 
--- a/packages/relay/src/waxwinglever_relay/backend_state.py
+++ b/packages/relay/src/waxwinglever_relay/backend_state.py
@@ -8,6 +8,7 @@
 from waxwinglever_admission import gate as gates
 from waxwinglever_assignment import fleet_view
 from waxwinglever_model import clock
+from waxwinglever_relay import messages
 
 # Requests that may be queued at the gate for each slot. A full queue of n for
 # each slot delays a request by n service times. With 2, most of the slots of an
@@ -27,6 +28,8 @@
 # In a full queue, routes of priority r get this many times the weight of routes
 # of priority r + 1.
 PRIORITY_WEIGHT_FACTOR = 4.0
+# A limit that changes in each answer is logged at most this often.
+NOTICE_LOG_INTERVAL_S = 1.0
 
 
 @attrs.frozen
@@ -77,6 +80,9 @@
       next_cold_send_s: Earliest time of the next request in the cold start.
       last_announced_s: When it last announced itself.
       route_priorities: Priority of each route by name; 0 is the most urgent.
+      notice: What the present process last said of itself in an answer; None
+        before its first answer.
+      notice_logged_s: When a change of `notice` was last logged.
     """
 
     address: str
@@ -99,6 +105,8 @@
     next_cold_send_s: float = float("-inf")
     last_announced_s: float = float("-inf")
     route_priorities: dict[str, int] = attrs.Factory(dict)
+    notice: messages.ServerNotice | None = None
+    notice_logged_s: float = float("-inf")
     lock: threading.Lock = attrs.Factory(threading.Lock)
 
 
@@ -192,6 +200,71 @@
     backend.started_ms = announcement.started_ms
     backend.state = fleet_view.DOWN
     backend.draining_since_s = float("inf")
+    backend.notice = None
+    gates.set_rate_limit(backend.gate, None)
+
+
+def apply_notice(
+    backend: BackendState, instance_id: str, notice: messages.ServerNotice
+) -> None:
+    """Obeys what the backend server says of itself in an answer.
+
+    Args:
+      backend: The state of the backend server.
+      instance_id: Id of the backend server that answered.
+      notice: What it said; its boot id is not used.
+    """
+    with backend.lock:
+        if instance_id != backend.instance_id:
+            return
+        obey_notice(backend, attrs.evolve(notice, boot_id=backend.boot_id))
+
+
+def adopt_notice(backend: BackendState, notice: messages.ServerNotice) -> None:
+    """Obeys what another daemon has heard, before the first answer here.
+
+    A daemon that restarts beside a living server would otherwise send too much
+    to it.
+    """
+    with backend.lock:
+        if backend.notice is None and notice.boot_id == backend.boot_id:
+            obey_notice(backend, notice)
+
+
+def obey_notice(backend: BackendState, notice: messages.ServerNotice) -> None:
+    """Obeys a notice of the present process; the caller holds the lock."""
+    before = backend.notice
+    if notice.unreadable and before is not None:
+        notice = attrs.evolve(notice, rate_limit_per_s=before.rate_limit_per_s)
+    if notice == before:
+        return
+    backend.notice = notice
+    log_notice(backend, before)
+    gates.set_rate_limit(backend.gate, notice.rate_limit_per_s)
+
+
+def log_notice(
+    backend: BackendState, before: messages.ServerNotice | None
+) -> None:
+    """Logs a change of the notice; the caller holds the lock."""
+    notice = backend.notice
+    known = before or messages.ServerNotice(notice.boot_id)
+    is_limited = notice.rate_limit_per_s is not None
+    was_limited = known.rate_limit_per_s is not None
+    is_new = is_limited != was_limited
+    now_s = backend.now()
+    if attrs.evolve(known, boot_id=notice.boot_id) == notice or (
+        not is_new and now_s - backend.notice_logged_s < NOTICE_LOG_INTERVAL_S
+    ):
+        return
+    backend.notice_logged_s = now_s
+    backend.log(
+        "backend-notice",
+        life=backend.boot_id,
+        limit_per_s=notice.rate_limit_per_s,
+        before_per_s=known.rate_limit_per_s,
+        unreadable=notice.unreadable,
+    )
 
 
 def deregister(backend: BackendState, instance_id: str) -> None:
--- a/packages/relay/src/waxwinglever_relay/delivery.py
+++ b/packages/relay/src/waxwinglever_relay/delivery.py
@@ -79,10 +79,16 @@
 ) -> messages.Response:
     """Admits a request, sends it to the backend server, returns the response.
 
+    The response has what the backend server says of itself, so that the daemon
+    where the request began can tell a restarted daemon here.
+
     Raises:
       Refusal: The request has not run, or its outcome is unknown.
       CallerDisconnected: The caller has closed its connection.
     """
+    backend = local_delivery.backend
+    if request.notice is not None:
+        backend_state.adopt_notice(backend, request.notice)
     check_accepts(local_delivery, request)
     if request.shard is not None:
         loads.record_request(local_delivery.load_meter, request.shard)
@@ -94,13 +100,17 @@
         request.known_chain,
     )
     with gates.admit(
-        local_delivery.backend.gate,
+        backend.gate,
         request_info,
         lambda: check_accepts(local_delivery, request),
     ) as admission:
         if caller is not None and caller.is_closed():
             raise messages.caller_disconnected_error()
-        return run_admitted(local_delivery, request, admission, caller)
+        response = run_admitted(local_delivery, request, admission, caller)
+    notice = backend.notice
+    if notice is None or notice.rate_limit_per_s is None:
+        return response
+    return attrs.evolve(response, notice=notice)
 
 
 def check_accepts(
--- a/packages/relay/src/waxwinglever_relay/ingress.py
+++ b/packages/relay/src/waxwinglever_relay/ingress.py
@@ -32,6 +32,8 @@
 # its expected time is at most this many times that of the best node. Photos
 # are tens of kilobytes, all other requests about one kilobyte.
 LARGE_BODY_BYTES = 8_192
+# Notices of backend servers that are kept; only those with a limit have one.
+MAX_NOTICES = 1_024
 LARGE_BODY_ZONE_TOLERANCE = 2.0
 SMALL_BODY_ZONE_TOLERANCE = 1.2
 
@@ -52,6 +54,8 @@
       now: Returns seconds of the boot clock.
       balancer: Load balancer for services without keys.
       retry_budgets: Retry budgets by service.
+      notices: What the backend server of a node said in its last response to
+        this daemon, by the name of the node, oldest first.
     """
 
     name: str
@@ -66,6 +70,7 @@
     now: Callable[[], float] = clock.boottime_s
     balancer: balancers.Balancer = attrs.Factory(balancers.Balancer)
     retry_budgets: dict[str, budgets.Budget] = attrs.Factory(dict)
+    notices: dict[str, messages.ServerNotice] = attrs.field(factory=dict)
 
 
 @attrs.define(eq=False)
@@ -176,6 +181,9 @@
     balancers.request_started(ingress_router.balancer, member.name)
     succeeded = False
     outcome = "ran"
+    notice = ingress_router.notices.get(member.name)
+    if notice is not None:
+        request = attrs.evolve(request, notice=notice)
     try:
         if member.name == ingress_router.name:
             response = delivery.deliver(
@@ -185,6 +193,7 @@
             response = ingress_router.forward(member, request, caller)
         succeeded = response.status < 500
         attempts.delivered += 1
+        record_notice(ingress_router, member.name, response.notice)
         return response
     except exceptions.NotExecuted as error:
         outcome = error.kind
@@ -214,6 +223,22 @@
         )
 
 
+def record_notice(
+    ingress_router: IngressRouter,
+    name: str,
+    notice: messages.ServerNotice | None,
+) -> None:
+    """Records what the backend server of a node says of itself."""
+    notices = ingress_router.notices
+    if notice is None:
+        notices.pop(name, None)
+        return
+    if name not in notices and len(notices) >= MAX_NOTICES:
+        for oldest in list(notices)[: MAX_NOTICES // 2]:
+            notices.pop(oldest, None)
+    notices[name] = notice
+
+
 def choose_node(
     ingress_router: IngressRouter, request: messages.Request, attempts: Attempts
 ) -> fleet_view.Member:
--- a/packages/relay/src/waxwinglever_relay/messages.py
+++ b/packages/relay/src/waxwinglever_relay/messages.py
@@ -10,6 +10,22 @@
 Headers = tuple[tuple[str, str], ...]
 
 
+@attrs.frozen
+class ServerNotice:
+    """What a backend server says of itself in its answers.
+
+    Attributes:
+      boot_id: Boot id of its process.
+      rate_limit_per_s: Requests a second that it takes from all daemons
+        together, or None.
+      unreadable: A limit that could not be read; the one before stays in force.
+    """
+
+    boot_id: str
+    rate_limit_per_s: float | None = None
+    unreadable: str = ""
+
+
 @attrs.frozen
 class Request:
     """One attempt of a caller to get a response, routed to a service.
@@ -31,6 +47,7 @@
       max_attempts: Maximum number of backend servers that it may be sent to.
       known_chain: Its chain of crashes, as far as its sender knows; see
         admission.quarantine.
+      notice: What its sender last heard of the backend server, if anything.
     """
 
     request_id: str
@@ -48,15 +65,24 @@
     keyed: bool = False
     max_attempts: int = 1
     known_chain: int = 0
+    notice: ServerNotice | None = None
 
 
 @attrs.frozen
 class Response:
-    """Complete and validated response of a backend server."""
+    """Complete and validated response of a backend server.
+
+    Attributes:
+      status: HTTP status.
+      headers: End-to-end headers.
+      body: The whole body.
+      notice: What the backend server says of itself, if anything.
+    """
 
     status: int
     headers: Headers
     body: bytes
+    notice: ServerNotice | None = None
 
 
 @attrs.frozen
--- a/packages/relay/tests/test_backend_state.py
+++ b/packages/relay/tests/test_backend_state.py
@@ -2,6 +2,7 @@
 
 import heapq
 import itertools
+import math
 import types
 
 import pytest
@@ -11,6 +12,7 @@
 from waxwinglever_assignment import fleet_view
 from waxwinglever_model import exceptions
 from waxwinglever_relay import backend_state
+from waxwinglever_relay import messages
 
 
 @pytest.mark.usefixtures("build")
@@ -85,6 +87,87 @@
         self.assertEqual(7, self.backend.gate.policy.slots)
 
 
+@pytest.mark.usefixtures("build")
+class NoticeTest(testtools.TestCase):
+    """Guards against a limit or a leaving server that is not obeyed."""
+
+    # Set by the fixture.
+    build: types.SimpleNamespace = types.SimpleNamespace()
+
+    def setUp(self):
+        super().setUp()
+        self.clock = self.build.Clock()
+        local_delivery, _, _ = self.build.make_local_delivery(self.clock)
+        self.backend = local_delivery.backend
+        self.lines = []
+        self.backend.log = lambda event, **fields: self.lines.append(
+            (event, fields)
+        )
+
+    def answer(self, instance_id="i1", **fields):
+        notice = messages.ServerNotice("", **fields)
+        backend_state.apply_notice(self.backend, instance_id, notice)
+
+    def announce(self, started_ms, sequence):
+        backend_state.apply_announcement(
+            self.backend,
+            backend_state.Announcement(
+                "i1", started_ms, sequence, "dispatch", 2, False, 0.0
+            ),
+        )
+
+    def rate(self) -> float:
+        """Returns the limit that the gate obeys."""
+        return gates.snapshot(self.backend.gate).rate_limit_per_s
+
+    def test_limit_holds_for_as_long_as_the_server_names_one(self):
+        self.answer(rate_limit_per_s=14.0)
+        self.assertEqual(14.0, self.rate())
+        self.answer(rate_limit_per_s=21.4)
+        self.assertEqual(21.4, self.rate())
+        self.answer()
+        self.assertEqual(math.inf, self.rate())
+
+    def test_limit_of_another_server_is_ignored(self):
+        self.answer("i0", rate_limit_per_s=14.0)
+        self.assertEqual(math.inf, self.rate())
+
+    def test_unreadable_limit_leaves_the_one_before(self):
+        self.answer(unreadable="'x'")
+        self.assertEqual(math.inf, self.rate())
+        self.answer(rate_limit_per_s=14.0)
+        self.answer(unreadable="'x'")
+        self.assertEqual(14.0, self.rate())
+
+    def test_new_process_starts_without_a_limit(self):
+        self.answer(rate_limit_per_s=14.0)
+        self.announce(9, 1)
+        self.assertEqual(math.inf, self.rate())
+
+    def test_restarted_daemon_obeys_what_another_has_heard(self):
+        heard = messages.ServerNotice("i1@1", 14.0)
+        backend_state.adopt_notice(self.backend, heard)
+        self.assertEqual(14.0, self.rate())
+
+    def test_own_answers_count_more_than_what_another_has_heard(self):
+        self.answer()
+        heard = messages.ServerNotice("i1@1", 14.0)
+        backend_state.adopt_notice(self.backend, heard)
+        self.assertEqual(math.inf, self.rate())
+
+    def test_what_was_heard_of_an_earlier_process_is_ignored(self):
+        heard = messages.ServerNotice("i1@0", 14.0)
+        backend_state.adopt_notice(self.backend, heard)
+        self.assertEqual(math.inf, self.rate())
+
+    def test_limit_that_changes_in_each_answer_is_logged_once_a_second(self):
+        for number in range(50):
+            self.answer(rate_limit_per_s=14.0 + number)
+        self.assertEqual(["backend-notice"], [event for event, _ in self.lines])
+        self.answer()
+        self.assertIsNone(self.lines[-1][1]["limit_per_s"])
+
+
 class OverloadTest(testtools.TestCase):
     """Guards against slots that are spent on requests which finish too late."""
 
--- a/packages/relay/tests/test_delivery.py
+++ b/packages/relay/tests/test_delivery.py
@@ -118,3 +118,16 @@
         self.fake_backend.up = False
         self.assertRaises(exceptions.BackendUnavailable, self.deliver)
         self.assertEqual(fleet_view.DOWN, self.local_delivery.backend.state)
+
+    def notice(self, **fields) -> messages.ServerNotice:
+        """Returns what the present process of the server says of itself."""
+        return messages.ServerNotice("i1@1", **fields)
+
+    def test_response_tells_the_limit_to_the_other_daemon(self):
+        backend = self.local_delivery.backend
+        notice = self.notice(rate_limit_per_s=50.0)
+        backend_state.apply_notice(backend, "i1", notice)
+        self.clock.now_s += 1.0
+        self.assertEqual(notice, self.deliver().notice)
+        backend_state.apply_notice(backend, "i1", self.notice())
+        self.assertIsNone(self.deliver().notice)
--- a/packages/relay/tests/test_ingress.py
+++ b/packages/relay/tests/test_ingress.py
@@ -2,6 +2,7 @@
 
 import types
 
+import attrs
 import pytest
 import testtools
 
@@ -132,3 +133,25 @@
             deadline_s=self.clock.now_s + 0.01,
         )
         self.assertEqual(1, len(self.sent))
+
+    def test_requests_carry_what_was_last_heard_of_their_server(self):
+        notice = messages.ServerNotice("m1@1", 14.0)
+        ingress.record_notice(self.ingress_router, "m1", notice)
+        response = attrs.evolve(self.build.RESPONSE, notice=notice)
+        self.fake_backend.results = [response, self.build.RESPONSE]
+        for _ in range(20):
+            self.handle_unkeyed()
+        requests = self.fake_backend.requests
+        self.assertEqual(notice, requests[self.sent.index("m1")].notice)
+        self.assertIsNone(requests[self.sent.index("m2")].notice)
+
+    def test_notices_are_bounded(self):
+        for number in range(3 * ingress.MAX_NOTICES):
+            ingress.record_notice(
+                self.ingress_router,
+                f"x{number}",
+                messages.ServerNotice("b", 1.0),
+            )
+        self.assertLessEqual(
+            len(self.ingress_router.notices), ingress.MAX_NOTICES
+        )
