Stop sending to a backend server that says it leaves

A machine that had passed on an answer with Server-Leaving went on sending to that server for as long as its announcements said that it was ready: only those were read.

The daemon beside the server now takes the header as the announcement that it drains. Daemons where requests begin choose such a server no longer, at once, whatever its entry in the store says, and tell the daemon beside it what they have heard, so that one that restarts grants no grace. All of it holds for one run of the server.

--- a/packages/relay/src/waxwinglever_relay/backend_state.py
+++ b/packages/relay/src/waxwinglever_relay/backend_state.py
@@ -224,11 +224,14 @@
     """Obeys what another daemon has heard, before the first answer here.
 
     A daemon that restarts beside a living server would otherwise send too much
-    to it.
+    to it, or send to it while it leaves.
     """
     with backend.lock:
         if backend.notice is None and notice.boot_id == backend.boot_id:
             obey_notice(backend, notice)
+            if notice.leaving:
+                # The other daemon heard it earlier; no grace is left.
+                backend.draining_since_s = float("-inf")
 
 
 def obey_notice(backend: BackendState, notice: messages.ServerNotice) -> None:
@@ -241,6 +244,9 @@
     backend.notice = notice
     log_notice(backend, before)
     gates.set_rate_limit(backend.gate, notice.rate_limit_per_s)
+    if notice.leaving:
+        start_draining(backend, "said in an answer")
+        publish(backend)
 
 
 def log_notice(
@@ -251,7 +257,7 @@
     known = before or messages.ServerNotice(notice.boot_id)
     is_limited = notice.rate_limit_per_s is not None
     was_limited = known.rate_limit_per_s is not None
-    is_new = is_limited != was_limited
+    is_new = (is_limited, notice.leaving) != (was_limited, known.leaving)
     now_s = backend.now()
     if attrs.evolve(known, boot_id=notice.boot_id) == notice or (
         not is_new and now_s - backend.notice_logged_s < NOTICE_LOG_INTERVAL_S
@@ -263,6 +269,7 @@
         life=backend.boot_id,
         limit_per_s=notice.rate_limit_per_s,
         before_per_s=known.rate_limit_per_s,
+        leaving=notice.leaving,
         unreadable=notice.unreadable,
     )
 
--- a/packages/relay/src/waxwinglever_relay/delivery.py
+++ b/packages/relay/src/waxwinglever_relay/delivery.py
@@ -108,7 +108,9 @@
             raise messages.caller_disconnected_error()
         response = run_admitted(local_delivery, request, admission, caller)
     notice = backend.notice
-    if notice is None or notice.rate_limit_per_s is None:
+    if notice is None or not (
+        notice.leaving or notice.rate_limit_per_s is not None
+    ):
         return response
     return attrs.evolve(response, notice=notice)
 
--- a/packages/relay/src/waxwinglever_relay/ingress.py
+++ b/packages/relay/src/waxwinglever_relay/ingress.py
@@ -32,7 +32,8 @@
 # its expected time is at most this many times that of the best node. Photos
 # are tens of kilobytes, all other requests about one kilobyte.
 LARGE_BODY_BYTES = 8_192
-# Notices of backend servers that are kept; only those with a limit have one.
+# Notices of backend servers that are kept; only those with a limit and those
+# that leave have one.
 MAX_NOTICES = 1_024
 LARGE_BODY_ZONE_TOLERANCE = 2.0
 SMALL_BODY_ZONE_TOLERANCE = 1.2
@@ -239,6 +240,23 @@
     notices[name] = notice
 
 
+def leaving_nodes(
+    ingress_router: IngressRouter, candidates: fleet_view.Candidates
+) -> list[str]:
+    """Returns the candidates whose backend server said that it leaves.
+
+    Their entry in the store may say so later, or not at all while the store is
+    away.
+    """
+    return [
+        name
+        for name, notice in list(ingress_router.notices.items())
+        if notice.leaving
+        and name in candidates.members
+        and candidates.members[name].instance == notice.boot_id
+    ]
+
+
 def choose_node(
     ingress_router: IngressRouter, request: messages.Request, attempts: Attempts
 ) -> fleet_view.Member:
@@ -268,7 +286,7 @@
         ingress_router.balancer,
         candidates.names,
         candidates.names_by_zone.get(zone, ()),
-        attempts.refused_by,
+        attempts.refused_by + leaving_nodes(ingress_router, candidates),
         LARGE_BODY_ZONE_TOLERANCE
         if len(request.body) >= LARGE_BODY_BYTES
         else SMALL_BODY_ZONE_TOLERANCE,
--- a/packages/relay/src/waxwinglever_relay/messages.py
+++ b/packages/relay/src/waxwinglever_relay/messages.py
@@ -18,11 +18,13 @@
       boot_id: Boot id of its process.
       rate_limit_per_s: Requests a second that it takes from all daemons
         together, or None.
+      leaving: Whether it is about to shut down.
       unreadable: A limit that could not be read; the one before stays in force.
     """
 
     boot_id: str
     rate_limit_per_s: float | None = None
+    leaving: bool = False
     unreadable: str = ""
 
 
--- a/packages/relay/tests/test_backend_state.py
+++ b/packages/relay/tests/test_backend_state.py
@@ -167,6 +167,23 @@
         self.answer()
         self.assertIsNone(self.lines[-1][1]["limit_per_s"])
 
+    def test_server_that_says_it_leaves_drains(self):
+        # Its announcements may still say that it is ready.
+        self.answer(leaving=True)
+        self.assertEqual(fleet_view.DRAINING, self.backend.state)
+        self.announce(1, 9)
+        self.assertEqual(fleet_view.DRAINING, self.backend.state)
+
+    def test_restarted_daemon_grants_a_leaving_server_no_grace(self):
+        heard = messages.ServerNotice("i1@1", leaving=True)
+        backend_state.adopt_notice(self.backend, heard)
+        self.assertEqual(float("-inf"), self.backend.draining_since_s)
+
+    def test_leaving_of_an_earlier_process_is_ignored(self):
+        heard = messages.ServerNotice("i1@0", leaving=True)
+        backend_state.adopt_notice(self.backend, heard)
+        self.assertEqual(fleet_view.READY, self.backend.state)
+
 
 class OverloadTest(testtools.TestCase):
     """Guards against slots that are spent on requests which finish too late."""
--- a/packages/relay/tests/test_delivery.py
+++ b/packages/relay/tests/test_delivery.py
@@ -131,3 +131,8 @@
         self.assertEqual(notice, self.deliver().notice)
         backend_state.apply_notice(backend, "i1", self.notice())
         self.assertIsNone(self.deliver().notice)
+
+    def test_server_that_left_before_the_daemon_restarted_gets_nothing(self):
+        self.assert_refused(
+            exceptions.Draining, notice=self.notice(leaving=True)
+        )
--- a/packages/relay/tests/test_ingress.py
+++ b/packages/relay/tests/test_ingress.py
@@ -155,3 +155,13 @@
         self.assertLessEqual(
             len(self.ingress_router.notices), ingress.MAX_NOTICES
         )
+
+    def test_server_that_says_it_leaves_gets_no_more_requests(self):
+        # Its entry in the store still says that it is ready.
+        for boot_id, nodes in (("m1@1", {"m2"}), ("m1@0", {"m1", "m2"})):
+            notice = messages.ServerNotice(boot_id, leaving=True)
+            ingress.record_notice(self.ingress_router, "m1", notice)
+            self.sent.clear()
+            for _ in range(20):
+                self.handle_unkeyed()
+            self.assertEqual(nodes, set(self.sent), boot_id)
