--- a/packages/cli/src/waxwinglever_cli/explain_command.py
+++ b/packages/cli/src/waxwinglever_cli/explain_command.py
@@ -13,6 +13,7 @@
 # that handled the request may explain its outcome.
 STATE_EVENT_PREFIXES = (
     "backend-",
+    "crash-",
     "session-",
     "store-",
     "ranges-",
--- a/packages/cli/tests/test_explain_command.py
+++ b/packages/cli/tests/test_explain_command.py
@@ -13,6 +13,8 @@
 LINES = (
     {"time": "1", "event": "backend-state", "node": "n2", "state": "down"},
     {"time": "2", "event": "backend-state", "node": "n3", "state": "down"},
+    {"time": "3", "event": "crash-record-applied", "node": "n2"},
+    {"time": "3", "event": "response-lost", "node": "n2", "request": "r2"},
     {"time": "4", "event": "delivery", "node": "n2", "request": "r1"},
     {
         "time": "5",
@@ -45,7 +47,10 @@
         self.assertEqual(
             ["4", "5"], [line["time"] for line in printed["request"]]
         )
-        self.assertEqual(["1"], [line["time"] for line in printed["before"]])
+        # Without the record nobody can tell why a request was quarantined.
+        self.assertEqual(
+            ["1", "3"], [line["time"] for line in printed["before"]]
+        )
 
     def test_an_unknown_request_is_an_error(self):
         self.assertNotEqual(0, self.run_explain("r9").exit_code)
