Split the gate by what its functions decide

The state is in gate_state, what runs next and what is refused in dispatching, the counting of crashes in crash_accounting; gate keeps the functions that take its lock. Callers name gate_state for the classes. No behaviour changes; the tests of all packages that use the gate pass unchanged but for these names.

--- a/packages/admission/tests/test_gate.py
+++ b/packages/admission/tests/test_gate.py
@@ -9,12 +9,14 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
+from waxwinglever_admission import dispatching
 from waxwinglever_admission import gate
+from waxwinglever_admission import gate_state
 from waxwinglever_admission import quarantine
 from waxwinglever_model import exceptions
 
-POLICY = gate.Policy(4, 6, 1, 8.0, {"a": 2.0, "b": 1.0})
-FULL = gate.Policy(2, 4, 2, 0.0, {"a": 1.0, "b": 1.0})
+POLICY = gate_state.Policy(4, 6, 1, 8.0, {"a": 2.0, "b": 1.0})
+FULL = gate_state.Policy(2, 4, 2, 0.0, {"a": 1.0, "b": 1.0})
 
 
 class Harness:
@@ -22,13 +24,13 @@
 
     def __init__(self, policy, boot_id="boot-0"):
         self.now_s = 100.0
-        self.gate = gate.Gate(policy, lambda: self.now_s, boot_id)
+        self.gate = gate_state.Gate(policy, lambda: self.now_s, boot_id)
         self.waiting = []
         self.running = []
         self.refused = []
 
     def send(self, fingerprint, request_class="a", timeout_s=10.0):
-        request_info = gate.RequestInfo(
+        request_info = gate_state.RequestInfo(
             request_class, self.now_s + timeout_s, fingerprint
         )
         admission = gate.submit(self.gate, request_info)
@@ -168,8 +170,8 @@
         self.assertEqual(2, len(harness.running))
 
     def test_a_failed_check_frees_the_slot(self):
-        state = gate.Gate(FULL)
-        request_info = gate.RequestInfo("a", state.now() + 60.0, "x")
+        state = gate_state.Gate(FULL)
+        request_info = gate_state.RequestInfo("a", state.now() + 60.0, "x")
 
         def check():
             self.assertEqual(1, gate.snapshot(state).in_flight)
@@ -272,9 +274,11 @@
         for name in names:
             harness.send(name)
         verdict = gate.record_crash(harness.gate)
-        self.assertEqual(gate.CrashVerdict(suspects=names), verdict)
+        self.assertEqual(gate_state.CrashVerdict(suspects=names), verdict)
         # Another connection reports the same crash.
-        self.assertEqual(gate.CrashVerdict(), gate.record_crash(harness.gate))
+        self.assertEqual(
+            gate_state.CrashVerdict(), gate.record_crash(harness.gate)
+        )
         for admission in list(harness.running):
             harness.end(admission, completed=False)
         gate.record_boot_id(harness.gate, "boot-1")
@@ -290,7 +294,7 @@
             ["x"], [a.request_info.fingerprint for a in harness.running]
         )
         verdict = gate.record_crash(harness.gate)
-        self.assertEqual(gate.CrashVerdict(convicted=("x",)), verdict)
+        self.assertEqual(gate_state.CrashVerdict(convicted=("x",)), verdict)
         harness.end(harness.running[0], completed=False)
         self.assertRaises(exceptions.Quarantined, harness.send, "x")
 
@@ -302,10 +306,12 @@
         harness.end(harness.running[0], completed=False)
         gate.record_boot_id(harness.gate, "boot-1")
         harness.send("z")
-        self.assertEqual(gate.CrashVerdict(), gate.record_crash(harness.gate))
+        self.assertEqual(
+            gate_state.CrashVerdict(), gate.record_crash(harness.gate)
+        )
         harness.end(harness.running[0], completed=False)
         verdict = gate.record_crash(harness.gate)
-        self.assertEqual(gate.CrashVerdict(suspects=("z",)), verdict)
+        self.assertEqual(gate_state.CrashVerdict(suspects=("z",)), verdict)
 
     def test_a_suspect_that_completes_is_cleared(self):
         harness = self.crash_with("x")
@@ -315,7 +321,7 @@
         self.assertEqual(0, gate.snapshot(harness.gate).suspects)
 
     def test_suspects_and_ordinary_work_alternate(self):
-        policy = gate.Policy(1, 20, 1, 0.0)
+        policy = gate_state.Policy(1, 20, 1, 0.0)
         harness = Harness(policy)
         harness.send("first")
         gate.apply_crash_report(harness.gate, ["s0", "s1", "s2"], [], [])
@@ -335,7 +341,7 @@
         harness.send("s", timeout_s=60.0)
         harness.send("o", timeout_s=60.0)
         self.assertEqual(1, len(harness.running))
-        harness.sleep(gate.MAX_HOLD_S)
+        harness.sleep(dispatching.MAX_HOLD_S)
         names = [a.request_info.fingerprint for a in harness.running]
         self.assertEqual(["long", "o"], names)
 
@@ -478,13 +484,13 @@
     """Guards against races that exceed the limit or lose a wake-up."""
 
     def test_every_admit_of_many_threads_ends(self):
-        state = gate.Gate(gate.Policy(4, 100, 1, 0.05, {"a": 2.0}))
+        state = gate_state.Gate(gate_state.Policy(4, 100, 1, 0.05, {"a": 2.0}))
         gate.apply_crash_report(state, ["3-1", "5-2"], [], [])
         in_flight = []
 
         def run(number):
             for i in range(20):
-                request_info = gate.RequestInfo(
+                request_info = gate_state.RequestInfo(
                     "a", state.now() + 60.0, f"{number}-{i}"
                 )
                 with gate.admit(state, request_info, lambda: None):
--- a/packages/daemon/src/waxwinglever_daemon/assembly.py
+++ b/packages/daemon/src/waxwinglever_daemon/assembly.py
@@ -5,6 +5,7 @@
 import attrs
 
 from waxwinglever_admission import gate
+from waxwinglever_admission import gate_state
 from waxwinglever_admission import outcomes
 from waxwinglever_backend import http as backend_http
 from waxwinglever_daemon import faults
@@ -250,7 +251,7 @@
         client=backend_http.new_http_client(
             announcement.address, connections=announcement.connections
         ),
-        gate=gate.Gate(
+        gate=gate_state.Gate(
             make_policy(context, context.node, announcement.slots), context.now
         ),
         outcomes=(
@@ -270,7 +271,7 @@
     context: request_context.RequestContext,
     node: nodes.CellNode,
     slots: int,
-) -> gate.Policy:
+) -> gate_state.Policy:
     """Returns the gate's limits.
 
     The announced slots are capped by the configured ones. Until a
@@ -281,14 +282,14 @@
     )
     queue_limit = context.request_limits.queue_limit
     if service is None:
-        return gate.Policy(
+        return gate_state.Policy(
             slots=slots,
             queue_limit=queue_limit,
             cold_start_slots=min(DEFAULT_COLD_START_SLOTS, slots),
             cold_start_s=DEFAULT_COLD_START_S,
         )
     slots = min(slots, service.slots)
-    return gate.Policy(
+    return gate_state.Policy(
         slots=slots,
         queue_limit=queue_limit,
         cold_start_slots=min(service.cold_start.initial_slots, slots),
--- a/packages/daemon/tests/test_assembly.py
+++ b/packages/daemon/tests/test_assembly.py
@@ -7,6 +7,7 @@
 import testtools
 
 from waxwinglever_admission import gate
+from waxwinglever_admission import gate_state
 from waxwinglever_admission import outcomes
 from waxwinglever_daemon import assembly
 from waxwinglever_front import request_context
@@ -148,7 +149,9 @@
     def test_a_drain_waits_for_requests_in_flight(self):
         self.announce()
         backend_gate = self.context.local_backend.gate
-        request = gate.RequestInfo("default", self.context.now() + 60, "f")
+        request = gate_state.RequestInfo(
+            "default", self.context.now() + 60, "f"
+        )
         started, release = threading.Event(), threading.Event()
 
         def hold_slot():
--- a/packages/front/src/waxwinglever_front/crash_reports.py
+++ b/packages/front/src/waxwinglever_front/crash_reports.py
@@ -3,6 +3,7 @@
 import threading
 
 from waxwinglever_admission import gate
+from waxwinglever_admission import gate_state
 from waxwinglever_front import request_context
 from waxwinglever_model import exceptions
 from waxwinglever_model import limits
@@ -10,7 +11,7 @@
 
 
 def report_crash(
-    context: request_context.RequestContext, verdict: gate.CrashVerdict
+    context: request_context.RequestContext, verdict: gate_state.CrashVerdict
 ) -> None:
     """Sends new suspects and convicted requests to the members of the cell.
 
--- a/packages/front/src/waxwinglever_front/dispatch.py
+++ b/packages/front/src/waxwinglever_front/dispatch.py
@@ -3,6 +3,7 @@
 import attrs
 
 from waxwinglever_admission import gate
+from waxwinglever_admission import gate_state
 from waxwinglever_admission import outcomes
 from waxwinglever_admission import tickets
 from waxwinglever_backend import client as backend_client
@@ -151,7 +152,7 @@
                 context, local_backend, lease.slice_.epoch, "the owner changed"
             )
 
-    request_info = gate.RequestInfo(
+    request_info = gate_state.RequestInfo(
         request.request_class,
         request.deadline_s,
         http_messages.fingerprint(request),
--- a/packages/front/src/waxwinglever_front/request_context.py
+++ b/packages/front/src/waxwinglever_front/request_context.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from waxwinglever_admission import gate
+from waxwinglever_admission import gate_state
 from waxwinglever_admission import outcomes
 from waxwinglever_backend import client as backend_client
 from waxwinglever_front import concurrency
@@ -57,7 +57,7 @@
     address: str
     slots: int
     client: backend_client.BackendClient
-    gate: gate.Gate
+    gate: gate_state.Gate
     outcomes: outcomes.OutcomeTable
     last_announced_s: float
     state: str
--- a/packages/front/tests/conftest.py
+++ b/packages/front/tests/conftest.py
@@ -6,7 +6,7 @@
 import attrs
 import pytest
 
-from waxwinglever_admission import gate
+from waxwinglever_admission import gate_state
 from waxwinglever_admission import outcomes
 from waxwinglever_backend import client as backend_client
 from waxwinglever_front import http_messages
@@ -116,7 +116,7 @@
                 lambda: backend_client.Health("boot", "ready"),
                 lambda: None,
             ),
-            gate.Gate(gate.Policy(10, 9, 10, 0.0), boot_id="boot"),
+            gate_state.Gate(gate_state.Policy(10, 9, 10, 0.0), boot_id="boot"),
             outcomes.OutcomeTable("a-0"),
             clock.boottime_s(),
             "ready",
--- a/packages/front/tests/test_dispatch.py
+++ b/packages/front/tests/test_dispatch.py
@@ -8,6 +8,7 @@
 import testtools
 
 from waxwinglever_admission import gate
+from waxwinglever_admission import gate_state
 from waxwinglever_admission import tickets
 from waxwinglever_backend import client as backend_client
 from waxwinglever_front import dispatch
@@ -117,7 +118,7 @@
 
         front.backend_responses = [slow]
         local_backend = front.context.local_backend
-        gate.set_policy(local_backend.gate, gate.Policy(1, 9, 1, 0.0))
+        gate.set_policy(local_backend.gate, gate_state.Policy(1, 9, 1, 0.0))
         with futures.ThreadPoolExecutor(2) as executor:
             first = executor.submit(
                 dispatch.serve, front.context, front.request(), True
--- a/packages/relay/src/waxwinglever_relay/backend_state.py
+++ b/packages/relay/src/waxwinglever_relay/backend_state.py
@@ -6,6 +6,7 @@
 import attrs
 
 from waxwinglever_admission import gate as gates
+from waxwinglever_admission import gate_state
 from waxwinglever_assignment import fleet_view
 from waxwinglever_model import clock
 from waxwinglever_relay import messages
@@ -91,8 +92,10 @@
     publish: Callable[..., None]
     log: Callable[..., None]
     now: Callable[[], float] = clock.boottime_s
-    gate: gates.Gate = attrs.Factory(
-        lambda: gates.Gate(gate_policy(INITIAL_SLOTS, {}), clock.boottime_s)
+    gate: gate_state.Gate = attrs.Factory(
+        lambda: gate_state.Gate(
+            gate_policy(INITIAL_SLOTS, {}), clock.boottime_s
+        )
     )
     boot_id: str = ""
     instance_id: str = ""
@@ -110,10 +113,12 @@
     lock: threading.Lock = attrs.Factory(threading.Lock)
 
 
-def gate_policy(slots: int, route_priorities: dict[str, int]) -> gates.Policy:
+def gate_policy(
+    slots: int, route_priorities: dict[str, int]
+) -> gate_state.Policy:
     """Returns the gate's policy for the slots and the route priorities."""
     lowest = max(route_priorities.values(), default=0)
-    return gates.Policy(
+    return gate_state.Policy(
         slots=slots,
         queue_limit=slots * QUEUE_PER_SLOT,
         cold_start_slots=slots,
--- a/packages/relay/src/waxwinglever_relay/crash_records.py
+++ b/packages/relay/src/waxwinglever_relay/crash_records.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from waxwinglever_admission import gate as gates
+from waxwinglever_admission import gate_state
 from waxwinglever_admission import quarantine
 from waxwinglever_assignment import fleet_view
 from waxwinglever_assignment import replicas
@@ -52,7 +53,7 @@
     node: str
     store: leased.LeasedStoreClient
     replica: replicas.Replica
-    gate: gates.Gate
+    gate: gate_state.Gate
     log: Callable[..., None]
     now: Callable[[], float] = clock.boottime_s
     outgoing: queue.SimpleQueue[tuple[quarantine.CrashEvidence, float]] = (
--- a/packages/relay/src/waxwinglever_relay/delivery.py
+++ b/packages/relay/src/waxwinglever_relay/delivery.py
@@ -6,6 +6,7 @@
 import attrs
 
 from waxwinglever_admission import gate as gates
+from waxwinglever_admission import gate_state
 from waxwinglever_assignment import fleet_view
 from waxwinglever_assignment import grants
 from waxwinglever_assignment import loads
@@ -93,7 +94,7 @@
     if request.shard is not None:
         loads.record_request(local_delivery.load_meter, request.shard)
     wait_for_cold_start(local_delivery, request)
-    request_info = gates.RequestInfo(
+    request_info = gate_state.RequestInfo(
         request.route,
         request.deadline_s,
         messages.fingerprint(request),
@@ -185,7 +186,7 @@
 def run_admitted(
     local_delivery: LocalDelivery,
     request: messages.Request,
-    admission: gates.Admission,
+    admission: gate_state.Admission,
     caller: messages.CallerConnection | None,
 ) -> messages.Response:
     """Sends an admitted request and returns the response.
@@ -237,7 +238,7 @@
 def check_for_crash(
     local_delivery: LocalDelivery,
     request: messages.Request,
-    admission: gates.Admission,
+    admission: gate_state.Admission,
     error: http_client.ResponseLost,
 ) -> bool:
     """Records a lost response; returns whether the backend server crashed.
--- a/packages/relay/tests/conftest.py
+++ b/packages/relay/tests/conftest.py
@@ -5,7 +5,7 @@
 import attrs
 import pytest
 
-from waxwinglever_admission import gate as gates
+from waxwinglever_admission import gate_state
 from waxwinglever_assignment import commits
 from waxwinglever_assignment import fleet_view
 from waxwinglever_assignment import grants
@@ -100,7 +100,7 @@
         discard,
         discard,
         now=clock,
-        gate=gates.Gate(backend_state.gate_policy(2, {}), clock),
+        gate=gate_state.Gate(backend_state.gate_policy(2, {}), clock),
     )
     backend_state.apply_announcement(
         backend, backend_state.Announcement("i1", 1, 1, service, 2, False, 0.0)
--- a/packages/relay/tests/test_backend_state.py
+++ b/packages/relay/tests/test_backend_state.py
@@ -9,6 +9,7 @@
 import testtools
 
 from waxwinglever_admission import gate as gates
+from waxwinglever_admission import gate_state
 from waxwinglever_assignment import fleet_view
 from waxwinglever_model import exceptions
 from waxwinglever_relay import backend_state
@@ -202,7 +203,7 @@
           load: Requests that arrive for each one that the slots can serve.
         """
         now_s = 0.0
-        gate = gates.Gate(
+        gate = gate_state.Gate(
             backend_state.gate_policy(self.SLOTS, {"read": 2, "write": 1}),
             lambda: now_s,
             "i1@1",
@@ -217,7 +218,7 @@
         while events:
             now_s, _, event = heapq.heappop(events)
             if event in self.ROUTES:
-                request_info = gates.RequestInfo(
+                request_info = gate_state.RequestInfo(
                     event, now_s + self.ROUTES[event][0], "f"
                 )
                 try:
--- a/packages/relay/tests/test_crash_records.py
+++ b/packages/relay/tests/test_crash_records.py
@@ -8,6 +8,7 @@
 import testtools
 
 from waxwinglever_admission import gate as gates
+from waxwinglever_admission import gate_state
 from waxwinglever_admission import quarantine
 from waxwinglever_assignment import fleet_view
 from waxwinglever_assignment import replicas
@@ -294,7 +295,7 @@
                 for node in fleet.nodes.values()
             ]
             for gate in gate_list:
-                info = gates.RequestInfo(
+                info = gate_state.RequestInfo(
                     "jobs", fleet.clock.now_s + 9.0, fingerprint
                 )
                 admission = gates.submit(gate, info)
@@ -316,7 +317,7 @@
         fleet.share()
         gate = fleet.nodes["m1"].local_delivery.backend.gate
         for name in ("other", "x"):
-            info = gates.RequestInfo("jobs", fleet.clock.now_s + 9.0, name)
+            info = gate_state.RequestInfo("jobs", fleet.clock.now_s + 9.0, name)
             gates.submit(gate, info)
         self.assertEqual(2, gates.snapshot(gate).in_flight)
 
