Keep the time of the next start under a limit steady

A look at the token bucket could move the time of the next start by a rounding error, and each move wakes the thread that waits for it. The time is now computed from the state at the last start. The test fails without the change.

--- a/packages/admission/src/waxwinglever_admission/rate_limits.py
+++ b/packages/admission/src/waxwinglever_admission/rate_limits.py
@@ -86,6 +86,9 @@
 ) -> float:
     """Returns when a request may start.
 
+    It returns the same future time until a request starts or the limit changes,
+    so that a thread that waits for it is not woken to find nothing.
+
     Args:
       rate_limit: The limit.
       now_s: Current time.
@@ -93,12 +96,12 @@
     """
     if not is_limited(rate_limit):
         return now_s
-    refill(rate_limit, now_s)
-    missing = 1.0 + ahead - rate_limit.tokens
-    # Rounding must not let a thread wake just before its token.
-    if missing <= 1e-6:
-        return now_s
-    return now_s + missing / rate_limit.rate_per_s
+    rate_per_s = rate_limit.rate_per_s
+    since_s, tokens = rate_limit.updated_s, rate_limit.tokens
+    full_s = since_s + (burst(rate_limit) - tokens) / rate_per_s
+    if now_s > full_s:
+        since_s, tokens = now_s, burst(rate_limit)
+    return max(now_s, since_s + (1.0 + ahead - tokens) / rate_per_s)
 
 
 def take(rate_limit: RateLimit, now_s: float) -> None:
--- a/packages/admission/tests/test_rate_limits.py
+++ b/packages/admission/tests/test_rate_limits.py
@@ -88,3 +88,15 @@
         for rate, waiting in ((0.0, 1), (20.0, 5), (1e9, 12)):
             rate_limits.set_rate(rate_limit, rate, 0.0)
             self.assertEqual(waiting, rate_limits.max_waiting(rate_limit, 12))
+
+    def test_time_of_the_next_start_does_not_shift_while_it_is_awaited(self):
+        # Each shift would wake the thread that waits for it.
+        rate_limit = rate_limits.RateLimit()
+        rate_limits.set_rate(rate_limit, 0.7, 0.0)
+        times_s = {
+            rate_limits.next_start_s(rate_limit, number / 97)
+            for number in range(100)
+        }
+        self.assertEqual(1, len(times_s))
+        (start_s,) = times_s
+        self.assertEqual(start_s, rate_limits.next_start_s(rate_limit, start_s))
