Remember that a backend server leaves for its whole run

Two answers can be handled in another order than they were sent. If the one without Server-Leaving came last, daemons where requests begin forgot that the server leaves, and a restarted daemon beside it could not be told.

--- a/packages/relay/src/waxwinglever_relay/backend_state.py
+++ b/packages/relay/src/waxwinglever_relay/backend_state.py
@@ -244,6 +244,9 @@
     before = backend.notice
     if notice.unreadable and before is not None:
         notice = attrs.evolve(notice, rate_limit_per_s=before.rate_limit_per_s)
+    if before is not None and before.leaving:
+        # An answer from before it said so may be handled after the one with it.
+        notice = attrs.evolve(notice, leaving=True)
     if notice == before:
         return
     backend.notice = notice
--- a/packages/relay/tests/test_backend_state.py
+++ b/packages/relay/tests/test_backend_state.py
@@ -175,6 +175,11 @@
         self.announce(1, 9)
         self.assertEqual(fleet_view.DRAINING, self.backend.state)
 
+    def test_leaving_is_not_forgotten_for_an_earlier_answer(self):
+        self.answer(leaving=True)
+        self.answer()
+        self.assertTrue(self.backend.notice.leaving)
+
     def test_restarted_daemon_grants_a_leaving_server_no_grace(self):
         heard = messages.ServerNotice("i1@1", leaving=True)
         backend_state.adopt_notice(self.backend, heard)
