Send a request again on a connection that has not carried it

Cause: a rejection returns its connection to the pool, and the pool gives out the connection used last, so the second send went out on the same one. A late second copy of the rejection bears the id of the request and was taken for the answer to the second send. The record of the case shows one rejection and one run, the daemon's log two sends with the outcome shed.

Change: each pooled connection keeps the ids that it has carried, until their deadlines, and is not used for one of them again. The id is then waited for at most once on a connection, so that it identifies the answer. The second hop does the same.

--- a/packages/hops/src/waxwinglever_hops/forwarding.py
+++ b/packages/hops/src/waxwinglever_hops/forwarding.py
@@ -121,6 +121,7 @@
                 request.body,
                 request.deadline_s + RESPONSE_TRANSIT_S,
                 caller,
+                request_id=request.request_id,
             )
         except http_client.ConnectFailed as error:
             raise exceptions.PeerUnavailable(
--- a/packages/relay/src/waxwinglever_relay/http_client.py
+++ b/packages/relay/src/waxwinglever_relay/http_client.py
@@ -137,11 +137,19 @@
 
 
 @attrs.define(eq=False)
-class IdleConnection:
-    """An idle connection, and the time at which it became idle."""
+class PooledConnection:
+    """A connection that is used for one request after the other.
+
+    Attributes:
+      connection: The connection.
+      idle_since_s: When it became idle.
+      request_ids: Ids of the requests that were sent on it, and when each of
+        them can't be sent again, as its deadline has passed.
+    """
 
     connection: connection.HTTPConnection
-    since_s: float
+    idle_since_s: float = float("-inf")
+    request_ids: dict[str, float] = attrs.field(factory=dict)
 
 
 @attrs.define(eq=False)
@@ -158,7 +166,7 @@
 
     connect_timeout_s: float
     max_idle_s: float = MAX_IDLE_S
-    idle_connections: dict[str, list[IdleConnection]] = attrs.Factory(dict)
+    idle_connections: dict[str, list[PooledConnection]] = attrs.Factory(dict)
     opened: int = 0
     lock: threading.Lock = attrs.Factory(threading.Lock)
 
@@ -176,6 +184,7 @@
     stall_s: float | None = None,
     connect_timeout_s: float | None = None,
     max_bytes: int = MAX_RESPONSE_BYTES,
+    request_id: str = "",
 ) -> Response:
     """Sends a request and returns its complete response.
 
@@ -197,6 +206,10 @@
       connect_timeout_s: If given, the time to open a connection, in place of
         the pool's. The time that it takes is added to the deadline.
       max_bytes: How many bytes the response may have, head included.
+      request_id: The id by which the server names the request in its response,
+        if it does. A request that is sent again goes out on a connection that
+        has not carried its id, as a second copy of the earlier response may
+        still come on that one.
 
     Raises:
       ConnectFailed: No connection could be opened; nothing was sent.
@@ -205,14 +218,19 @@
       ResponseTooLarge: The response has more than `max_bytes`.
       CallerDisconnected: The caller closed its connection.
     """
-    conn = take_idle(client, address)
-    if conn is None and connect_timeout_s is None:
+    pooled = take_idle(client, address, request_id)
+    if pooled is None and connect_timeout_s is None:
         timeout_s = min(client.connect_timeout_s, remaining_s(deadline_s))
-        conn = open_connection(client, address, timeout_s)
-    elif conn is None:
+        pooled = PooledConnection(open_connection(client, address, timeout_s))
+    elif pooled is None:
         started_s = clock.boottime_s()
-        conn = open_connection(client, address, connect_timeout_s)
+        pooled = PooledConnection(
+            open_connection(client, address, connect_timeout_s)
+        )
         deadline_s += clock.boottime_s() - started_s
+    if request_id:
+        pooled.request_ids[request_id] = deadline_s
+    conn = pooled.connection
     conn.sock.deadline_s = deadline_s
     conn.sock.bytes_left = conn.sock.max_bytes = max_bytes
     conn.sock.stall_s = stall_s
@@ -256,7 +274,7 @@
         ) from error
     finally:
         if reusable:
-            return_idle(client, address, conn)
+            return_idle(client, address, pooled)
         else:
             conn.close()
 
@@ -303,39 +321,65 @@
     return max(0.001, deadline_s - clock.boottime_s())
 
 
-def take_idle(client: Client, address: str) -> connection.HTTPConnection | None:
-    """Returns an idle connection that is still open, or None."""
+def take_idle(
+    client: Client, address: str, request_id: str
+) -> PooledConnection | None:
+    """Returns an idle connection that is still open, or None.
+
+    Args:
+      client: The connection pool.
+      address: host:port.
+      request_id: If not empty, the connection has not carried this id.
+    """
     while True:
         with client.lock:
-            idle = client.idle_connections.get(address)
-            if not idle:
+            idle = client.idle_connections.get(address, [])
+            index = next(
+                (
+                    i
+                    for i in reversed(range(len(idle)))
+                    if request_id not in idle[i].request_ids
+                ),
+                None,
+            )
+            if index is None:
                 return None
-            found = idle.pop()
-        age_s = clock.boottime_s() - found.since_s
+            found = idle.pop(index)
+        age_s = clock.boottime_s() - found.idle_since_s
         # A readable idle connection was closed by the server, or has data that
         # belongs to no request.
         if age_s < client.max_idle_s and not is_readable(found.connection.sock):
-            return found.connection
+            return found
         found.connection.close()
 
 
-def return_idle(
-    client: Client, address: str, conn: connection.HTTPConnection
-) -> None:
+def return_idle(client: Client, address: str, pooled: PooledConnection) -> None:
     """Returns a connection to the pool and closes those idle for too long."""
     stale = []
     now_s = clock.boottime_s()
+    pooled.idle_since_s = now_s
+    forget_ended_requests(pooled)
     with client.lock:
         idle = client.idle_connections.setdefault(address, [])
-        while idle and now_s - idle[0].since_s > client.max_idle_s:
+        while idle and now_s - idle[0].idle_since_s > client.max_idle_s:
             stale.append(idle.pop(0))
         if len(idle) >= MAX_IDLE_PER_ADDRESS:
             stale.append(idle.pop(0))
-        idle.append(IdleConnection(conn, now_s))
+        idle.append(pooled)
     for item in stale:
         item.connection.close()
 
 
+def forget_ended_requests(pooled: PooledConnection) -> None:
+    """Forgets the oldest ids of a connection, as far as they have ended."""
+    request_ids = pooled.request_ids
+    while request_ids:
+        oldest = next(iter(request_ids))
+        if request_ids[oldest] > pooled.idle_since_s:
+            return
+        del request_ids[oldest]
+
+
 def close_idle(client: Client, address: str) -> None:
     """Closes the idle connections to an address."""
     with client.lock:
--- a/packages/relay/tests/test_http_client.py
+++ b/packages/relay/tests/test_http_client.py
@@ -241,3 +241,91 @@
             time.sleep(0.05)
         self.assertEqual([b"1", b"2"], bodies)
         self.assertEqual(2, client.opened)
+
+
+class RepeatedRequestTest(testtools.TestCase):
+    """Guards against a caller told 503 for a request that runs.
+
+    A request is sent again after the server rejected it. A late second copy of
+    the rejection bears the id of the request as well, so it would be taken for
+    the response to the second send.
+    """
+
+    def setUp(self):
+        super().setUp()
+        # The request ids that each connection has carried.
+        self.carried: list[list[str]] = []
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(self.listener.close)
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        self.client = http_client.Client(1.0)
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self) -> None:
+        """Accepts connections; runs in a thread."""
+        while True:
+            try:
+                accepted, _ = self.listener.accept()
+            except OSError:
+                return
+            ids: list[str] = []
+            self.carried.append(ids)
+            threading.Thread(
+                target=self.answer, args=(accepted, ids), daemon=True
+            ).start()
+
+    def answer(self, accepted: socket.socket, ids: list[str]) -> None:
+        """Answers 503 to the requests of one connection; runs in a thread."""
+        with accepted:
+            while data := accepted.recv(65_536):
+                ids.append(data.split()[1].decode())
+                accepted.sendall(
+                    b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n"
+                )
+
+    def send(self, request_id: str, timeout_s: float = 3.0) -> None:
+        """Sends a request with the given id, which is also its target."""
+        http_client.send_request(
+            self.client,
+            self.address,
+            "GET",
+            request_id,
+            {"Host": "x"},
+            b"",
+            clock.boottime_s() + timeout_s,
+            request_id=request_id,
+        )
+
+    def test_request_is_not_sent_twice_on_a_connection(self):
+        for request_id in ("/a", "/b", "/a", "/b", "/a"):
+            self.send(request_id)
+        self.assertEqual([["/a", "/b"], ["/a", "/b"], ["/a"]], self.carried)
+
+    def test_idle_connection_that_has_not_carried_the_id_is_used(self):
+        self.send("/a")
+        self.send("/a")
+        self.send("/b")
+        # The first connection has carried /a only.
+        self.send("/b")
+        self.assertEqual([["/a", "/b"], ["/a", "/b"]], self.carried)
+
+    def test_ids_of_requests_that_have_ended_are_forgotten(self):
+        for number in range(200):
+            self.send(f"/{number}", 0.2)
+        time.sleep(0.2)
+        self.send("/last")
+        pooled = self.client.idle_connections[self.address]
+        self.assertEqual([["/last"]], [list(i.request_ids) for i in pooled])
+
+    def test_requests_without_an_id_share_connections(self):
+        for _ in range(3):
+            http_client.send_request(
+                self.client,
+                self.address,
+                "GET",
+                "/",
+                {"Host": "x"},
+                b"",
+                clock.boottime_s() + 3.0,
+            )
+        self.assertEqual([["/", "/", "/"]], self.carried)
