Read request bodies up to the start of the next request

Cause: cheroot leaves a body in chunks to its gateway, and ours read neither the rest of a refused one nor the lines behind the last chunk. The rest was parsed as the next request: the 400 has the text of cheroot's parser, and the daemon logs no request for it. The two bytes behind the last chunk gave each idle connection to a worker, until all 96 waited.

Change: hops/bodies.py reads bodies on all servers. After each response the connection is at the start of the next request, or it is closed, with bounds on the bytes and the time that a refused body may cost. Before a close the daemon reads on for a bounded time, as a reset for unread bytes destroys the response. Sizes that two servers may read differently are malformed. A body over the configured limit is not read whole.

--- a/packages/hops/src/waxwinglever_hops/server.py
+++ b/packages/hops/src/waxwinglever_hops/server.py
@@ -14,7 +14,9 @@
 import attrs
 from cheroot import server as cheroot_server
 
+from waxwinglever_hops import bodies
 from waxwinglever_hops import workers
+from waxwinglever_model import exceptions
 from waxwinglever_relay import messages
 
 BACKLOG = 256
@@ -36,8 +38,8 @@
       method: HTTP method.
       target: Path and query, unchanged.
       headers: Values by header name; the names are in title case.
-      read_body: Reads and returns the whole body; raises CallerDisconnected if
-        the connection ends before the body does.
+      read_body: Reads and returns the whole body, of at most the given size;
+        see bodies.read_all.
       caller: The connection of the caller.
       on_finished: Called in turn once the response is written, or when there is
         none and the connection is about to be closed.
@@ -46,7 +48,7 @@
     method: str
     target: str
     headers: dict[str, str]
-    read_body: Callable[[], bytes]
+    read_body: Callable[..., bytes]
     caller: messages.CallerConnection
     on_finished: list[Callable[[], None]] = attrs.field(factory=list)
 
@@ -111,6 +113,23 @@
 Handler = Callable[[HttpRequest], HttpResponse]
 
 
+class Request(cheroot_server.HTTPRequest):
+    """A request whose refusal by cheroot itself arrives as well.
+
+    cheroot closes the connection after it, with the rest of the request unread.
+    """
+
+    def simple_response(self, status, msg=""):
+        super().simple_response(status, msg)
+        bodies.linger(self.conn)
+
+
+class Connection(cheroot_server.HTTPConnection):
+    """A connection that carries such requests."""
+
+    RequestHandlerClass = Request
+
+
 def make_server(address: str, threads: int, handle: Handler):
     """Returns a server that passes each request to `handle`.
 
@@ -126,6 +145,7 @@
         (host, int(port)),
         gateway=make_gateway_class(handle),
     )
+    server.ConnectionClass = Connection
     server.requests = workers.WorkerPool(server, threads)
     server.request_queue_size = BACKLOG
     server.timeout = DEFAULT_IDLE_TIMEOUT_S
@@ -143,6 +163,9 @@
 
         def respond(self):
             request = self.req
+            body = bodies.find_body(request)
+            # cheroot would read on from this file before the response.
+            request.rfile = None
             incoming = HttpRequest(
                 request.method.decode("latin-1"),
                 request.uri.decode("latin-1"),
@@ -150,47 +173,69 @@
                     name.decode("latin-1"): value.decode("latin-1")
                     for name, value in request.inheaders.items()
                 },
-                functools.partial(read_full_body, request),
+                functools.partial(bodies.read_all, body),
                 watch_connection(request.conn.socket),
             )
             try:
-                write_response(request, handle(incoming))
+                bodies.send_continue(request)
+                write_response(request, body, call_handler(handle, incoming))
             except (CloseWithoutResponse, messages.CallerDisconnected):
                 request.close_connection = True
                 request.ready = False
             finally:
                 for callback in incoming.on_finished:
                     callback()
+            if request.ready:
+                end_request(request, body)
 
     return Gateway
 
 
-def read_full_body(request: cheroot_server.HTTPRequest) -> bytes:
-    """Returns the whole body of a request.
+def call_handler(handle: Handler, incoming: HttpRequest) -> HttpResponse:
+    """Returns the response to a request, also if its body can't be read."""
+    try:
+        return handle(incoming)
+    except exceptions.BadRequest as error:
+        text = f"{error.message}; {error.remedy}"
+        return HttpResponse(error.status, (), text.encode(), close=True)
+
 
-    cheroot treats the end of the connection as the end of the body, so the
-    length is checked here.
+def end_request(
+    request: cheroot_server.HTTPRequest, body: bodies.RequestBody
+) -> None:
+    """Leaves the connection at the start of its next request, or to be closed.
 
-    Raises:
-      CallerDisconnected: The connection ended before the body did.
+    Args:
+      request: A request whose response was written.
+      body: Its body, which may be unread.
     """
-    body = request.rfile.read()
-    content_length = int(request.inheaders.get(b"Content-Length", 0))
-    if len(body) < content_length:
-        raise messages.caller_disconnected_error()
-    return body
+    if not request.close_connection:
+        request.close_connection = not bodies.discard(body)
+    if request.close_connection and (
+        not body.ended or bodies.has_unread_bytes(request.conn)
+    ):
+        bodies.linger(request.conn)
 
 
 def write_response(
-    request: cheroot_server.HTTPRequest, response: HttpResponse
+    request: cheroot_server.HTTPRequest,
+    body: bodies.RequestBody,
+    response: HttpResponse,
 ) -> None:
-    """Writes a response with its Content-Length to the connection."""
+    """Writes a response with its Content-Length to the connection.
+
+    Args:
+      request: The request.
+      body: Its body; if it can't be read to its end, the response closes the
+        connection.
+      response: The response.
+    """
     try:
         reason = http.HTTPStatus(response.status).phrase
     except ValueError:
         reason = "Unknown"
     request.status = f"{response.status} {reason}".encode("latin-1")
-    if response.close:
+    if response.close or not bodies.is_discardable(body):
         request.close_connection = True
     request.outheaders = [
         (name.encode("latin-1"), value.encode("latin-1"))
--- a/packages/relay/src/waxwinglever_relay/http_client.py
+++ b/packages/relay/src/waxwinglever_relay/http_client.py
@@ -166,7 +166,9 @@
 
     connect_timeout_s: float
     max_idle_s: float = MAX_IDLE_S
-    idle_connections: dict[str, list[PooledConnection]] = attrs.Factory(dict)
+    idle_connections: dict[str, list[PooledConnection]] = attrs.field(
+        factory=dict
+    )
     opened: int = 0
     lock: threading.Lock = attrs.Factory(threading.Lock)
 
