Bound the requests to a backend server that may be cold

Cause: a backend server counted as warm for as long as its last announcement was; its health path was never read. At 95 requests a second the bound of 38 in a second is reached after 0.4 s, the next heartbeat may take 0.87 s.

Change: relay/cold_watch.py takes a server for warm only up to the last check that showed it. What was sent since, within a second, stays under the bound of a cold one; the requests cause the checks, so that a server with few requests is never asked. The bound is kept where a request is sent, behind the gate. A cold start first makes up for the requests before its notice. Each check has a connection of its own, as health answers bear no id.

--- a/packages/relay/src/waxwinglever_relay/backend_state.py
+++ b/packages/relay/src/waxwinglever_relay/backend_state.py
@@ -9,6 +9,7 @@
 from waxwinglever_admission import gate_state
 from waxwinglever_assignment import fleet_view
 from waxwinglever_model import clock
+from waxwinglever_relay import cold_watch
 from waxwinglever_relay import messages
 
 # Requests that may be queued at the gate for each slot. A full queue of n for
@@ -79,6 +80,9 @@
       draining_since_s: When it began to drain; infinity if it has not.
       cold_start_end_s: When its cold start ends.
       next_cold_send_s: Earliest time of the next request in the cold start.
+      watch: Bounds the requests to it before it is known to be cold.
+      cold_debt: Requests that it may have got while cold, before that was
+        known and since then not made up for by a pause.
       last_announced_s: When it last announced itself.
       route_priorities: Priority of each route by name; 0 is the most urgent.
       notice: What the present process last said of itself in an answer; None
@@ -106,6 +110,10 @@
     draining_since_s: float = float("inf")
     cold_start_end_s: float = float("-inf")
     next_cold_send_s: float = float("-inf")
+    watch: cold_watch.ColdWatch = attrs.Factory(
+        lambda self: cold_watch.ColdWatch(self.now), takes_self=True
+    )
+    cold_debt: int = 0
     last_announced_s: float = float("-inf")
     route_priorities: dict[str, int] = attrs.Factory(dict)
     notice: messages.ServerNotice | None = None
@@ -177,9 +185,7 @@
                 gate_policy(announcement.slots, backend.route_priorities),
             )
         if announcement.cold_start_left_s > 0:
-            backend.cold_start_end_s = max(
-                backend.cold_start_end_s, now_s + announcement.cold_start_left_s
-            )
+            start_cold(backend, announcement.cold_start_left_s, "announced")
         gates.record_boot_id(backend.gate, boot_id)
         if announcement.draining:
             start_draining(backend, "announced")
@@ -209,6 +215,36 @@
     gates.set_rate_limit(backend.gate, None)
 
 
+def record_cold(backend: BackendState, instance_id: str, cold_s: float) -> None:
+    """Records that the backend server has said that it is cold.
+
+    Args:
+      backend: The state of the backend server.
+      instance_id: Id of the backend server that was asked.
+      cold_s: For how long it stays cold.
+    """
+    with backend.lock:
+        if instance_id == backend.instance_id and cold_s > 0:
+            start_cold(backend, cold_s, "checked")
+            publish(backend)
+
+
+def start_cold(backend: BackendState, cold_s: float, reason: str) -> None:
+    """Starts or extends the cold time; the caller holds the lock."""
+    now_s = backend.now()
+    if now_s >= backend.cold_start_end_s:
+        with backend.watch.changed:
+            backend.cold_debt = cold_watch.unconfirmed_sends(backend.watch)
+        backend.log(
+            "backend-cold",
+            life=backend.boot_id,
+            cold_s=round(cold_s, 3),
+            unconfirmed=backend.cold_debt,
+            why=reason,
+        )
+    backend.cold_start_end_s = max(backend.cold_start_end_s, now_s + cold_s)
+
+
 def apply_notice(
     backend: BackendState, instance_id: str, notice: messages.ServerNotice
 ) -> None:
@@ -368,10 +404,15 @@
         now_s = backend.now()
         if now_s >= backend.cold_start_end_s:
             return 0.0
+        rate_per_s = max(1.0, rate * COLD_RATE_SHARE)
+        if backend.cold_debt:
+            # What it got in the second before counts in the same limit.
+            paid_s = now_s - cold_watch.WINDOW_S
+            paid_s += backend.cold_debt / rate_per_s
+            backend.next_cold_send_s = max(backend.next_cold_send_s, paid_s)
+            backend.cold_debt = 0
         send_s = max(now_s, backend.next_cold_send_s)
         if send_s - now_s > MAX_COLD_WAIT_S:
             return None
-        backend.next_cold_send_s = send_s + 1.0 / max(
-            1.0, rate * COLD_RATE_SHARE
-        )
+        backend.next_cold_send_s = send_s + 1.0 / rate_per_s
         return send_s - now_s
--- a/packages/relay/src/waxwinglever_relay/delivery.py
+++ b/packages/relay/src/waxwinglever_relay/delivery.py
@@ -13,6 +13,7 @@
 from waxwinglever_model import clock
 from waxwinglever_model import exceptions
 from waxwinglever_relay import backend_state
+from waxwinglever_relay import cold_watch
 from waxwinglever_relay import http_client
 from waxwinglever_relay import messages
 from waxwinglever_relay import routes
@@ -103,7 +104,7 @@
     with gates.admit(
         backend.gate,
         request_info,
-        lambda: check_accepts(local_delivery, request),
+        lambda: check_before_send(local_delivery, request),
     ) as admission:
         if caller is not None and caller.is_closed():
             raise messages.caller_disconnected_error()
@@ -160,6 +161,28 @@
         )
 
 
+def check_before_send(
+    local_delivery: LocalDelivery, request: messages.Request
+) -> None:
+    """Raises a refusal if an admitted request must not be sent now.
+
+    It may wait until the backend server is known to be warm.
+
+    Raises:
+      Refusal: The request must not be sent; see `check_accepts`.
+      Overloaded: The backend server may be cold and has got enough requests.
+    """
+    check_accepts(local_delivery, request)
+    backend = local_delivery.backend
+    left_s = request.deadline_s - local_delivery.now() - MIN_REMAINING_S
+    if not cold_watch.wait_to_send(
+        backend.watch,
+        min(backend_state.MAX_COLD_WAIT_S, left_s),
+        lambda: backend_state.is_cold(backend),
+    ):
+        raise cold_error("the backend server may be cold")
+
+
 def wait_for_cold_start(
     local_delivery: LocalDelivery, request: messages.Request
 ) -> None:
@@ -175,11 +198,7 @@
     rate = service.cold_start_rate_per_s if service is not None else 1.0
     delay_s = backend_state.reserve_cold_send(local_delivery.backend, rate)
     if delay_s is None or local_delivery.now() + delay_s > request.deadline_s:
-        raise exceptions.Overloaded(
-            "the backend server is in its cold start",
-            "try again later",
-            retry_after_ms=300,
-        )
+        raise cold_error("the backend server is in its cold start")
     time.sleep(delay_s)
 
 
@@ -278,6 +297,11 @@
     )
 
 
+def cold_error(reason: str) -> exceptions.Overloaded:
+    """Returns the refusal by a backend server that is or may be cold."""
+    return exceptions.Overloaded(reason, "try again later", retry_after_ms=300)
+
+
 def draining_error(reason: str) -> exceptions.Draining:
     """Returns the refusal of new requests while draining or shutting down."""
     return exceptions.Draining(
--- a/packages/relay/src/waxwinglever_relay/http_client.py
+++ b/packages/relay/src/waxwinglever_relay/http_client.py
@@ -187,6 +187,7 @@
     connect_timeout_s: float | None = None,
     max_bytes: int = MAX_RESPONSE_BYTES,
     request_id: str = "",
+    single_use: bool = False,
 ) -> Response:
     """Sends a request and returns its complete response.
 
@@ -212,6 +213,9 @@
         if it does. A request that is sent again goes out on a connection that
         has not carried its id, as a second copy of the earlier response may
         still come on that one.
+      single_use: Whether to use a connection that carries nothing else. Without
+        an id in it, a second copy of another response would be taken for the
+        response.
 
     Raises:
       ConnectFailed: No connection could be opened; nothing was sent.
@@ -220,7 +224,9 @@
       ResponseTooLarge: The response has more than `max_bytes`.
       CallerDisconnected: The caller closed its connection.
     """
-    pooled = take_idle(client, address, request_id)
+    pooled = None
+    if not single_use:
+        pooled = take_idle(client, address, request_id)
     if pooled is None and connect_timeout_s is None:
         timeout_s = min(client.connect_timeout_s, remaining_s(deadline_s))
         pooled = PooledConnection(open_connection(client, address, timeout_s))
@@ -251,7 +257,7 @@
             response.read(),
         )
         check(complete)
-        reusable = body_sent and can_reuse(response, method)
+        reusable = body_sent and not single_use and can_reuse(response, method)
         return complete
     except ResponseTooLong as error:
         raise ResponseTooLarge(
--- a/packages/relay/src/waxwinglever_relay/routes.py
+++ b/packages/relay/src/waxwinglever_relay/routes.py
@@ -66,11 +66,14 @@
       keyed: Whether each of its shards is owned by one backend server.
       cold_start_rate_per_s: Requests a second that a backend server can handle
         during its cold start.
+      health_path: Path at which its backend servers tell whether they are warm;
+        '' if they don't.
     """
 
     name: str
     keyed: bool
     cold_start_rate_per_s: float
+    health_path: str = ""
 
 
 @attrs.frozen
--- a/packages/relay/tests/test_backend_state.py
+++ b/packages/relay/tests/test_backend_state.py
@@ -13,6 +13,7 @@
 from waxwinglever_assignment import fleet_view
 from waxwinglever_model import exceptions
 from waxwinglever_relay import backend_state
+from waxwinglever_relay import cold_watch
 from waxwinglever_relay import messages
 
 
@@ -75,6 +76,34 @@
             sends, 22.0 * (1.0 + backend_state.MAX_COLD_WAIT_S)
         )
 
+    def test_requests_before_the_notice_count_in_the_cold_start(self):
+        # With the pace alone, the second around the notice had too many.
+        cold_watch.set_bound(self.backend.watch, 30)
+        for _ in range(30):
+            self.clock.now_s += 0.005
+            self.assertTrue(
+                cold_watch.wait_to_send(self.backend.watch, 0.0, lambda: False)
+            )
+        noticed_s = self.clock.now_s
+        backend_state.record_cold(self.backend, "i1", 3.0)
+        self.assertTrue(backend_state.is_cold(self.backend))
+        sends_s = []
+        while self.clock.now_s < noticed_s + 1.5:
+            delay_s = backend_state.reserve_cold_send(self.backend, 22.0)
+            if delay_s is not None:
+                sends_s.append(self.clock.now_s + delay_s)
+            self.clock.now_s += 0.01
+        rate_per_s = 22.0 * backend_state.COLD_RATE_SHARE
+        paid_s = noticed_s - 1.0 + 30 / rate_per_s
+        self.assertAlmostEqual(paid_s, sends_s[0], 1)
+
+    def test_cold_server_is_published(self):
+        published = []
+        self.backend.publish = lambda **fields: published.append(fields["cold"])
+        backend_state.record_cold(self.backend, "i0", 3.0)
+        backend_state.record_cold(self.backend, "i1", 3.0)
+        self.assertEqual([True], published)
+
     def test_warm_server_has_no_delay(self):
         self.assertEqual(
             0.0, backend_state.reserve_cold_send(self.backend, 1.0)
--- a/packages/relay/tests/test_delivery.py
+++ b/packages/relay/tests/test_delivery.py
@@ -8,6 +8,7 @@
 from waxwinglever_assignment import fleet_view
 from waxwinglever_model import exceptions
 from waxwinglever_relay import backend_state
+from waxwinglever_relay import cold_watch
 from waxwinglever_relay import delivery
 from waxwinglever_relay import http_client
 from waxwinglever_relay import messages
@@ -80,6 +81,16 @@
         caller = messages.CallerConnection(-1, lambda: True)
         self.assert_refused(messages.CallerDisconnected, caller=caller)
 
+    def test_server_that_may_be_cold_gets_no_more_than_the_bound(self):
+        # A restart is announced, but a server may become cold at any moment.
+        cold_watch.set_bound(self.local_delivery.backend.watch, 3)
+        for _ in range(3):
+            self.deliver()
+        backend_state.record_cold(self.local_delivery.backend, "i1", 0.01)
+        self.assert_refused(exceptions.Overloaded)
+        self.clock.now_s += 1.0
+        self.deliver()
+
     def test_lost_response_has_an_unknown_outcome(self):
         for error in (LOST, LATE):
             self.fake_backend.results = [error]
--- a/packages/relay/tests/test_http_client.py
+++ b/packages/relay/tests/test_http_client.py
@@ -317,6 +317,23 @@
         pooled = self.client.idle_connections[self.address]
         self.assertEqual([["/last"]], [list(i.request_ids) for i in pooled])
 
+    def test_call_without_an_id_has_a_connection_of_its_own(self):
+        # A second copy of another response can't be told from its own.
+        self.send("/a")
+        for target in ("/health", "/health"):
+            http_client.send_request(
+                self.client,
+                self.address,
+                "GET",
+                target,
+                {"Host": "x"},
+                b"",
+                clock.boottime_s() + 3.0,
+                single_use=True,
+            )
+        self.send("/b")
+        self.assertEqual([["/a", "/b"], ["/health"], ["/health"]], self.carried)
+
     def test_requests_without_an_id_share_connections(self):
         for _ in range(3):
             http_client.send_request(
