Close a connection after an answer without a request id

Callers could see: a request answered with 503 that runs. An answer without an id was taken for that of any request, so a late second copy of such a rejection passed for the answer to the next request on its connection.

Cause: the id in an answer identifies it only if there is one, and check_response let an answer without one pass on a connection that was used again.

Change: such an answer still counts, but its connection is closed, so that no copy of it can come on a connection in use.

--- a/packages/relay/src/waxwinglever_relay/http_client.py
+++ b/packages/relay/src/waxwinglever_relay/http_client.py
@@ -182,7 +182,7 @@
     body: bytes,
     deadline_s: float,
     caller: messages.CallerConnection | None = None,
-    check: Callable[[Response], None] = lambda _: None,
+    check: Callable[[Response], bool] = lambda _: True,
     stall_s: float | None = None,
     connect_timeout_s: float | None = None,
     max_bytes: int = MAX_RESPONSE_BYTES,
@@ -202,7 +202,9 @@
       caller: The connection of the caller that waits for the response, if any.
       check: Called with the complete response; raises ResponseLost if it can't
         be the response to this request. The connection is not reused then, as
-        the next response on it may belong to this request.
+        the next response on it may belong to this request, nor if `check`
+        returns False, as a second copy of the response could not be told from
+        the next one.
       stall_s: If given, the response need only begin by the deadline. It may
         then take as long as its size needs, while no pause in it is longer than
         this and it arrives at MIN_BYTES_PER_S at least.
@@ -256,8 +258,13 @@
             tuple((n.lower(), v) for n, v in response.headers.items()),
             response.read(),
         )
-        check(complete)
-        reusable = body_sent and not single_use and can_reuse(response, method)
+        is_told_apart = check(complete)
+        reusable = (
+            is_told_apart
+            and body_sent
+            and not single_use
+            and can_reuse(response, method)
+        )
         return complete
     except ResponseTooLong as error:
         raise ResponseTooLarge(
