Keep a server out that left before its daemon restarted

Cause: a daemon that was killed and started again replaced its entry in the store, which said that its server drains, without a look at it. A heartbeat from before, held up on its way, then said that the server was ready.

Change: the session passes on the entry that it replaces; a process that was draining in it stays out. The entry is read at that moment anyway.

--- a/packages/assignment/src/waxwinglever_assignment/sessions.py
+++ b/packages/assignment/src/waxwinglever_assignment/sessions.py
@@ -65,6 +65,8 @@
       must_read_entry: Whether the entry must be read from the store, because a
         call has failed since it was last read.
       confirmation_failed: Whether the last confirmation failed.
+      adopt_previous: Called with the member in the entry that this session
+        replaces, which a previous run of this node may have written.
       wake: Set when `member` changed or the thread must end.
       stopping: Set when the thread must end.
     """
@@ -85,6 +87,7 @@
     confirmations: dict[int, float] = attrs.Factory(dict)
     must_read_entry: bool = False
     confirmation_failed: bool = False
+    adopt_previous: Callable[[fleet_view.Member], None] = lambda member: None
     wake: threading.Event = attrs.Factory(threading.Event)
     stopping: threading.Event = attrs.Factory(threading.Event)
 
@@ -300,6 +303,8 @@
                 "the entry of this node no longer exists",
                 "a new session is opened",
             ) from error
+        if is_first and item is not None:
+            adopt_previous_entry(session, item)
         version = write_entry(
             session,
             member,
@@ -310,6 +315,16 @@
     return version
 
 
+def adopt_previous_entry(session: Session, item: leased.Item) -> None:
+    """Passes on what the entry says that this session is about to replace."""
+    try:
+        previous = fleet_view.decode_member(item.value)
+    except exceptions.InvalidInput as error:
+        session.log("previous-entry-unusable", error=error.message)
+        return
+    session.adopt_previous(previous)
+
+
 def current_entry(
     session: Session, error: leased.VersionConflict
 ) -> leased.Item | None:
--- a/packages/relay/src/waxwinglever_relay/backend_state.py
+++ b/packages/relay/src/waxwinglever_relay/backend_state.py
@@ -85,6 +85,8 @@
         known and since then not made up for by a pause.
       last_announced_s: When it last announced itself.
       route_priorities: Priority of each route by name; 0 is the most urgent.
+      left_boot_id: Identifies a process that has left, as a previous run of this
+        daemon recorded; '' if none has.
       notice: What the present process last said of itself in an answer; None
         before its first answer.
       notice_logged_s: When a change of `notice` was last logged.
@@ -116,6 +118,7 @@
     cold_debt: int = 0
     last_announced_s: float = float("-inf")
     route_priorities: dict[str, int] = attrs.Factory(dict)
+    left_boot_id: str = ""
     notice: messages.ServerNotice | None = None
     notice_logged_s: float = float("-inf")
     lock: threading.Lock = attrs.Factory(threading.Lock)
@@ -178,6 +181,7 @@
         backend.sequence = announcement.sequence
         if boot_id != backend.boot_id:
             reset_for_boot(backend, announcement, boot_id)
+            drain_if_left(backend)
         if announcement.slots != backend.slots:
             backend.slots = announcement.slots
             gates.set_policy(
@@ -318,6 +322,26 @@
     )
 
 
+def adopt_left(backend: BackendState, boot_id: str) -> None:
+    """Records that a process has left, before this daemon was started.
+
+    Its announcements from before may still arrive, and say that it is ready.
+    """
+    with backend.lock:
+        backend.left_boot_id = boot_id
+        if backend.boot_id == boot_id:
+            drain_if_left(backend)
+            publish(backend)
+
+
+def drain_if_left(backend: BackendState) -> None:
+    """Ends requests to a process that has left; the caller holds the lock."""
+    if backend.left_boot_id and backend.boot_id == backend.left_boot_id:
+        start_draining(backend, "left before the daemon started")
+        # The grace has passed while the daemon was down.
+        backend.draining_since_s = float("-inf")
+
+
 def deregister(backend: BackendState, instance_id: str) -> None:
     """Starts draining if the present backend server deregisters itself."""
     with backend.lock:
--- a/packages/relay/tests/test_backend_state.py
+++ b/packages/relay/tests/test_backend_state.py
@@ -63,6 +63,34 @@
         backend_state.deregister(self.backend, "i0")
         self.assertEqual(fleet_view.READY, self.backend.state)
 
+    def test_process_that_left_before_the_daemon_started_stays_out(self):
+        # A late announcement from before says that it is ready.
+        for known_first in (True, False):
+            clock = self.build.Clock()
+            local_delivery, _, _ = self.build.make_local_delivery(clock)
+            backend = local_delivery.backend
+            left = backend_state.Announcement(
+                "i2", 5, 1, "dispatch", 2, False, 0.0
+            )
+            steps = [
+                lambda b=backend: backend_state.adopt_left(b, "i2@5"),
+                lambda b=backend, a=left: backend_state.apply_announcement(
+                    b, a
+                ),
+            ]
+            for step in steps if known_first else reversed(steps):
+                step()
+            self.assertEqual(fleet_view.DRAINING, backend.state)
+            self.assertEqual(float("-inf"), backend.draining_since_s)
+            # The next process is not concerned.
+            backend_state.apply_announcement(
+                backend,
+                backend_state.Announcement(
+                    "i3", 9, 1, "dispatch", 2, False, 0.0
+                ),
+            )
+            self.assertEqual(fleet_view.READY, backend.state)
+
     def test_cold_start_limits_the_request_rate(self):
         self.announce(cold_start_left_s=3.0)
         sends = 0
