--- a/packages/relay/src/waxwinglever_relay/backend_state.py
+++ b/packages/relay/src/waxwinglever_relay/backend_state.py
@@ -85,8 +85,8 @@
         known and since then not made up for by a pause.
       last_announced_s: When it last announced itself.
       route_priorities: Priority of each route by name; 0 is the most urgent.
-      left_boot_id: Identifies a process that has left, as a previous run of this
-        daemon recorded; '' if none has.
+      left_boot_id: Identifies a process that has left, as a previous run of
+        this daemon recorded; '' if none has.
       notice: What the present process last said of itself in an answer; None
         before its first answer.
       notice_logged_s: When a change of `notice` was last logged.
