Read bodies in chunks to their end in the front as well

Callers could see: the rest of a refused body in chunks is answered with 400 as the next request of the connection, and idle connections after uploads in chunks hold the threads of the server.

Change: the server of waxwingleverd discards them within bounds, or closes the connection.

--- a/packages/daemon/src/waxwinglever_daemon/main.py
+++ b/packages/daemon/src/waxwinglever_daemon/main.py
@@ -13,6 +13,7 @@
 
 from waxwinglever_daemon import assembly
 from waxwinglever_daemon import fault_pages
+from waxwinglever_daemon import http_server
 from waxwinglever_daemon import settings as settings_module
 from waxwinglever_front import application
 from waxwinglever_front import pages
@@ -175,6 +176,7 @@
             fault_pages.FaultPages(daemon.link_faults), "/faults"
         )
     cherrypy.tree.graft(application.make_application(daemon.context), "/s")
+    cherrypy.server.instance = http_server.Server()
     cherrypy.engine.start()
 
 
