Pause cold checks only after one without a warm answer

Callers could see: requests to a warm server that gets hundreds a second wait for its next check, as checks came at most every 50 ms: no more than 20 times its cold bound passed in a second.

Change: a check that shows a warm server is followed by the next as soon as requests need it.

The new test failed before (1 s for 20 checks, 0.5 s allowed).

--- a/packages/relay/src/waxwinglever_relay/cold_watch.py
+++ b/packages/relay/src/waxwinglever_relay/cold_watch.py
@@ -20,7 +20,8 @@
 # A check begins when this share of the requests that may be sent without one
 # has been sent. The rest is sent while the response is on its way.
 CHECK_SHARE = 0.6
-# Time between two checks. One without a result is repeated after it.
+# Time after a check that did not show that the server is warm. Others follow
+# one another as fast as requests need them.
 CHECK_PAUSE_S = 0.05
 # Interval of the log lines about checks without a result.
 LOG_INTERVAL_S = 1.0
@@ -146,7 +147,8 @@
             cold_s = check()
             if cold_s == 0:
                 record_warm(watch, asked_s)
-            elif cold_s is None and asked_s - logged_s >= LOG_INTERVAL_S:
+                continue
+            if cold_s is None and asked_s - logged_s >= LOG_INTERVAL_S:
                 logged_s = asked_s
                 log(
                     "cold-check-failed",
--- a/packages/relay/tests/test_cold_watch.py
+++ b/packages/relay/tests/test_cold_watch.py
@@ -214,6 +214,11 @@
         self.assertGreater(watch.warm_s, asked_s[0] - 1.0)
         self.assertEqual([], lines)
 
+    def test_warm_server_is_asked_as_often_as_needed(self):
+        # A pause would bound its requests far below what it can serve.
+        _, asked_s, _ = self.run_checks([0.0] * 20)
+        self.assertLess(asked_s[-1] - asked_s[0], 10 * cold_watch.CHECK_PAUSE_S)
+
     def test_no_answer_and_a_cold_server_confirm_nothing(self):
         watch, asked_s, lines = self.run_checks([None, 2.5, None])
         self.assertEqual(float("-inf"), watch.warm_s)
