--- a/packages/relay/src/waxwinglever_relay/http_client.py
+++ b/packages/relay/src/waxwinglever_relay/http_client.py
@@ -40,6 +40,12 @@
 # bytes that trickle in would hold the thread.
 MIN_BYTES_PER_S = 12_500
 
+# What marks the end of a response.
+NO_BODY = "no-body"
+LENGTH = "length"
+CHUNKED = "chunked"
+UNTIL_CLOSE = "until-close"
+
 SOCKET_OPTIONS = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
@@ -162,6 +168,7 @@
       idle_connections: Idle connections by address, the most recently used
         last.
       opened: Number of connections opened so far.
+      count_response: Called with the framing of each complete response.
     """
 
     connect_timeout_s: float
@@ -170,6 +177,7 @@
         factory=dict
     )
     opened: int = 0
+    count_response: Callable[[str], None] = lambda framing: None
     lock: threading.Lock = attrs.Factory(threading.Lock)
 
 
@@ -258,6 +266,7 @@
             tuple((n.lower(), v) for n, v in response.headers.items()),
             response.read(),
         )
+        client.count_response(describe_framing(response, method))
         is_told_apart = check(complete)
         reusable = (
             is_told_apart
@@ -494,10 +503,15 @@
     headers = response.headers
     if "close" in headers.get("Connection", "").lower():
         return False
-    framed = (
-        "Content-Length" in headers
-        or "chunked" in headers.get("Transfer-Encoding", "").lower()
-        or method == "HEAD"
-        or response.status in (204, 304)
-    )
-    return framed and response.version == 11
+    is_framed = describe_framing(response, method) != UNTIL_CLOSE
+    return is_framed and response.version == 11
+
+
+def describe_framing(response: urllib3.HTTPResponse, method: str) -> str:
+    """Returns what marks the end of a response."""
+    headers = response.headers
+    if method == "HEAD" or response.status in (204, 304):
+        return NO_BODY
+    if "chunked" in headers.get("Transfer-Encoding", "").lower():
+        return CHUNKED
+    return LENGTH if "Content-Length" in headers else UNTIL_CLOSE
