Refuse responses whose end is not clear

Callers got a part of the server's body as a complete success, with a length of its own. http.client ends a head at the end of the connection or at the first line that is no header, and takes a length that it can't read for none; the relay then took the bytes up to the end of the connection for the body and wrote them to the caller with their Content-Length. The backend client and the front knew a part of this since; the relay, which reads the answers of backend servers, daemons and the store, did not.

The new package framing decides when a response is whole: a head up to its empty line with nothing but headers, one length of digits or `chunked` alone, chunks up to the empty line behind the trailers. The reader is a response class for the connections of urllib3, so bytes behind a response are seen and close the connection too.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV ?= .venv
 SEED ?= 1
 MINUTES ?= 3
-PACKAGES = model records telemetry store peers backend placement admission \
+PACKAGES = model framing records telemetry store peers backend placement admission \
 	routing assignment relay hops ownership front daemon cli standins bench
 empty :=
 space := $(empty) $(empty)
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -2,7 +2,7 @@
 # Installs the runtime libraries and the deployed packages in target/deps.
 set -eu
 lock=deploy/runtime.lock
-packages="admission assignment hops model relay routing store telemetry"
+packages="admission assignment framing hops model relay routing store telemetry"
 if [ ! -f target/deps/.lock ] || ! cmp -s "$lock" target/deps/.lock; then
   rm -rf target/deps
   python3 -m pip install -q --disable-pip-version-check --no-deps \
--- /dev/null
+++ b/packages/framing/src/waxwinglever_framing/bodies.py
@@ -0,0 +1,139 @@
+"""Bodies of HTTP responses, read to their end."""
+
+import io
+import re
+import socket
+from collections.abc import Iterator
+
+import attrs
+
+from waxwinglever_framing import heads
+
+PIECE_BYTES = 65_536
+MAX_HEAD_BYTES = 65_536
+MAX_CHUNK_LINE_BYTES = 4_096
+MAX_TRAILER_BYTES = 16_384
+# int() takes signs, prefixes and underscores as well.
+CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(;[^\x00-\x08\x0a-\x1f]*)?")
+CRLF = b"\r\n"
+
+
+@attrs.define(eq=False)
+class Source:
+    """The bytes of one response and what was received behind it.
+
+    Attributes:
+      sock: The connection.
+      raw: Its unbuffered file.
+      pending: Bytes that were received and not read yet.
+      ended: Whether the end of the connection was received.
+    """
+
+    sock: socket.socket
+    raw: io.RawIOBase
+    pending: bytes = b""
+    ended: bool = False
+
+
+def receive(source: Source) -> bool:
+    """Receives some bytes; returns False at the end of the connection."""
+    data = source.raw.read(PIECE_BYTES)
+    if not data:
+        source.ended = True
+        return False
+    source.pending = source.pending + data if source.pending else data
+    return True
+
+
+def read_up_to(source: Source, end: bytes, max_bytes: int) -> bytes | None:
+    """Returns the bytes up to `end` and with it.
+
+    Returns None if `end` is not among the next `max_bytes` bytes, or the
+    connection ends before it.
+    """
+    searched = 0
+    while (index := source.pending.find(end, searched)) < 0:
+        searched = max(0, len(source.pending) - len(end) + 1)
+        if len(source.pending) > max_bytes or not receive(source):
+            return None
+    size = index + len(end)
+    data, source.pending = source.pending[:size], source.pending[size:]
+    return data
+
+
+def read_some(source: Source, max_bytes: int) -> bytes:
+    """Returns at least one byte; none at the end of the connection."""
+    if not source.pending and not receive(source):
+        return b""
+    data = source.pending[:max_bytes]
+    source.pending = source.pending[max_bytes:]
+    return data
+
+
+def read_pieces(source: Source, framing: heads.Framing) -> Iterator[bytes]:
+    """Yields the body of a response.
+
+    Raises:
+      IncompleteResponse: The body ended early, or its end can't be found.
+      OSError: The connection was reset, or a read took too long.
+    """
+    if framing.kind == heads.LENGTH:
+        yield from read_length(source, framing.length)
+    elif framing.kind == heads.CHUNKED:
+        yield from read_chunks(source)
+    elif framing.kind == heads.UNTIL_CLOSE:
+        while piece := read_some(source, PIECE_BYTES):
+            yield piece
+
+
+def read_length(source: Source, length: int) -> Iterator[bytes]:
+    """Yields `length` bytes in pieces."""
+    left = length
+    while left:
+        piece = read_some(source, left)
+        if not piece:
+            raise heads.IncompleteResponse(
+                heads.SHORT_BODY, length - left, length
+            )
+        left -= len(piece)
+        yield piece
+
+
+def read_chunks(source: Source) -> Iterator[bytes]:
+    """Yields the body in the chunks up to the last one and its trailers."""
+    received = 0
+    while size := read_chunk_size(source, received):
+        left = size
+        while left:
+            piece = read_some(source, left)
+            if not piece:
+                raise heads.IncompleteResponse(heads.SHORT_BODY, received)
+            left -= len(piece)
+            received += len(piece)
+            yield piece
+        while len(source.pending) < len(CRLF) and receive(source):
+            pass
+        if not source.pending.startswith(CRLF):
+            raise chunk_error(source, received)
+        source.pending = source.pending[len(CRLF) :]
+    trailer_bytes = 0
+    while (line := read_up_to(source, CRLF, MAX_TRAILER_BYTES)) != CRLF:
+        if line is None or trailer_bytes > MAX_TRAILER_BYTES:
+            raise chunk_error(source, received)
+        trailer_bytes += len(line)
+        heads.parse_headers([line.removesuffix(CRLF)], received)
+
+
+def read_chunk_size(source: Source, received: int) -> int:
+    """Returns the size of the next chunk, behind `received` bytes of body."""
+    line = read_up_to(source, CRLF, MAX_CHUNK_LINE_BYTES)
+    match = line and CHUNK_SIZE.fullmatch(line.removesuffix(CRLF))
+    if not match:
+        raise chunk_error(source, received)
+    return int(match[1], 16)
+
+
+def chunk_error(source: Source, received: int) -> heads.IncompleteResponse:
+    """Returns the error for a chunk that is cut or malformed."""
+    reason = heads.SHORT_BODY if source.ended else heads.MALFORMED_CHUNK
+    return heads.IncompleteResponse(reason, received)
--- /dev/null
+++ b/packages/framing/tests/test_client.py
@@ -0,0 +1,116 @@
+"""Tests of waxwinglever_framing.client."""
+
+import http.client
+
+import testtools
+import urllib3
+
+from waxwinglever_framing import client
+from waxwinglever_framing import heads
+from waxwinglever_standins import response_samples
+from waxwinglever_standins import scripted_server
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+
+
+class ClientTest(testtools.TestCase):
+    """Guards against connections that give out a part of a response."""
+
+    def setUp(self):
+        super().setUp()
+        self.server = scripted_server.start()
+        self.addCleanup(scripted_server.stop, self.server)
+        host, _, port = self.server.address.rpartition(":")
+        self.pool = client.ConnectionPool(host, int(port), maxsize=1)
+        self.addCleanup(self.pool.close)
+
+    def get(self, **options) -> urllib3.BaseHTTPResponse:
+        """Returns the response of the server, read to its end."""
+        return self.pool.urlopen("GET", "/", retries=False, **options)
+
+    def find_reason(self) -> str:
+        """Returns why the response of the server is not complete."""
+        error = self.assertRaises(urllib3.exceptions.ProtocolError, self.get)
+        cause = error.args[1]
+        if isinstance(cause, http.client.RemoteDisconnected):
+            return "disconnected"
+        return cause.reason
+
+    def test_whole_responses_pass_and_keep_their_connection(self):
+        self.server.ending = scripted_server.KEEP_OPEN
+        samples = response_samples.whole()
+        for name, sample in samples.items():
+            self.server.data = sample.data
+            response = self.get()
+            self.assertEqual(
+                (sample.status, sample.body),
+                (response.status, response.data),
+                name,
+            )
+        self.assertEqual(1, self.server.connections)
+
+    def test_response_without_length_ends_with_its_connection(self):
+        self.server.data = response_samples.until_close()
+        for _ in range(2):
+            self.assertEqual(response_samples.BODY, self.get().data)
+        self.assertEqual(2, self.server.connections)
+
+    def test_response_can_be_read_in_parts(self):
+        self.server.data = response_samples.whole()["chunks"].data
+        response = self.get(preload_content=False)
+        parts = [response.read(7), response.read1(5), response.read()]
+        self.assertEqual(response_samples.BODY, b"".join(parts))
+        self.assertEqual(b"", response.read1(5))
+
+    def test_reason_tells_why_a_response_is_incomplete(self):
+        whole = response_samples.whole()
+        length, chunks = whole["length"].data, whole["chunks"].data
+        for data, ending, reason in (
+            (b"", scripted_server.CLOSE, "disconnected"),
+            (length[:10], scripted_server.CLOSE, heads.CUT_HEAD),
+            (length[:-1], scripted_server.CLOSE, heads.SHORT_BODY),
+            (chunks[:-1], scripted_server.CLOSE, heads.SHORT_BODY),
+            (chunks[:-400], scripted_server.CLOSE, heads.SHORT_BODY),
+            (
+                HEAD + b"garbage\r\n\r\n",
+                scripted_server.CLOSE,
+                heads.MALFORMED_HEAD,
+            ),
+            (
+                HEAD + b"Content-Length: x\r\n\r\n",
+                scripted_server.CLOSE,
+                heads.UNCLEAR_LENGTH,
+            ),
+            (
+                chunks.replace(b"fa\r\n", b"f_a\r\n"),
+                scripted_server.CLOSE,
+                heads.MALFORMED_CHUNK,
+            ),
+        ):
+            self.server.data, self.server.ending = data, ending
+            self.assertEqual(reason, self.find_reason(), data[-40:])
+
+    def test_interim_responses_are_bounded(self):
+        self.server.data = b"HTTP/1.1 100 Continue\r\n\r\n" * 100
+        self.server.ending = scripted_server.KEEP_OPEN
+        self.assertEqual(heads.MALFORMED_HEAD, self.find_reason())
+
+    def test_connection_with_bytes_behind_a_response_is_not_used_again(self):
+        # A buffer of the response's file took them with it, and the rest of a
+        # longer second copy was read as the next response.
+        data = response_samples.whole()["length"].data
+        self.server.data = data + data[:100]
+        self.server.ending = scripted_server.KEEP_OPEN
+        for _ in range(3):
+            self.assertEqual(response_samples.BODY, self.get().data)
+        self.assertEqual(3, self.server.connections)
+
+    def test_pool_manager_reads_complete_responses(self):
+        manager = client.new_pool_manager(retries=False)
+        self.server.data = response_samples.whole()["length"].data[:-1]
+        self.assertRaises(
+            urllib3.exceptions.ProtocolError,
+            manager.request,
+            "GET",
+            f"http://{self.server.address}/",
+        )
--- a/packages/relay/src/waxwinglever_relay/delivery.py
+++ b/packages/relay/src/waxwinglever_relay/delivery.py
@@ -272,6 +272,9 @@
             request=request.request_id,
             fingerprint=messages.fingerprint(request),
             error=error.message,
+            reason=error.reason,
+            received=error.received,
+            expected=error.expected,
         )
         gates.record_lost_response(local_delivery.backend.gate, admission)
         return False
--- a/packages/relay/src/waxwinglever_relay/http_client.py
+++ b/packages/relay/src/waxwinglever_relay/http_client.py
@@ -5,6 +5,7 @@
 disconnects.
 """
 
+import contextlib
 import http.client
 import select
 import socket
@@ -13,9 +14,10 @@
 
 import attrs
 import urllib3
-from urllib3 import connection
 from urllib3.util import request as urllib3_request
 
+from waxwinglever_framing import client as framing_client
+from waxwinglever_framing import heads
 from waxwinglever_model import clock
 from waxwinglever_model import exceptions
 from waxwinglever_relay import messages
@@ -40,11 +42,9 @@
 # bytes that trickle in would hold the thread.
 MIN_BYTES_PER_S = 12_500
 
-# What marks the end of a response.
-NO_BODY = "no-body"
-LENGTH = "length"
-CHUNKED = "chunked"
-UNTIL_CLOSE = "until-close"
+# Why a response is missing, beside the reasons of framing.heads.
+NO_RESPONSE = "no-response"
+RESET = "reset"
 
 SOCKET_OPTIONS = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
@@ -63,9 +63,19 @@
 
 
 class ResponseLost(exceptions.WaxwingleverError):
-    """The request was sent, but no complete response was received."""
+    """The request was sent, but no complete response was received.
+
+    Attributes:
+      reason: Why: a reason of framing.heads, RESET, NO_RESPONSE, or '' if it
+        was complete, but not the response to the request.
+      received: How many bytes of the response arrived, head included.
+      expected: How many bytes its body should have, or None if unknown.
+    """
 
     kind = "answer-lost"
+    reason = ""
+    received = 0
+    expected: int | None = None
 
 
 class ResponseTooLarge(ResponseLost):
@@ -153,7 +163,7 @@
         them can't be sent again, as its deadline has passed.
     """
 
-    connection: connection.HTTPConnection
+    connection: framing_client.Connection
     idle_since_s: float = float("-inf")
     request_ids: dict[str, float] = attrs.field(factory=dict)
 
@@ -169,6 +179,7 @@
         last.
       opened: Number of connections opened so far.
       count_response: Called with the framing of each complete response.
+      count_incomplete: Called with the reason for each incomplete response.
     """
 
     connect_timeout_s: float
@@ -178,6 +189,7 @@
     )
     opened: int = 0
     count_response: Callable[[str], None] = lambda framing: None
+    count_incomplete: Callable[[str], None] = lambda reason: None
     lock: threading.Lock = attrs.Factory(threading.Lock)
 
 
@@ -249,30 +261,33 @@
     if request_id:
         pooled.request_ids[request_id] = deadline_s
     conn = pooled.connection
-    conn.sock.deadline_s = deadline_s
-    conn.sock.bytes_left = conn.sock.max_bytes = max_bytes
-    conn.sock.stall_s = stall_s
-    conn.sock.begun_s = None
+    # The connection drops its socket when a response ends with it.
+    sock = conn.sock
+    sock.deadline_s = deadline_s
+    sock.bytes_left = sock.max_bytes = max_bytes
+    sock.stall_s = stall_s
+    sock.begun_s = None
     reusable = False
     try:
         body_sent = write_request(
             conn, method, target, headers, body, deadline_s
         )
-        wait_readable(conn.sock, caller, deadline_s)
-        response = conn.getresponse()
-        check_length(response, max_bytes)
-        complete = Response(
-            response.status,
-            tuple((n.lower(), v) for n, v in response.headers.items()),
-            response.read(),
-        )
-        client.count_response(describe_framing(response, method))
+        wait_readable(sock, caller, deadline_s)
+        response = conn.read_response()
+        with contextlib.closing(response):
+            check_length(response, max_bytes)
+            complete = Response(
+                response.status,
+                tuple((n.lower(), v) for n, v in response.headers.items()),
+                response.read(),
+            )
+        client.count_response(response.framing.kind)
         is_told_apart = check(complete)
         reusable = (
             is_told_apart
             and body_sent
             and not single_use
-            and can_reuse(response, method)
+            and not response.framing.closes
         )
         return complete
     except ResponseTooLong as error:
@@ -283,7 +298,7 @@
     except TimeoutError as error:
         raise ResponseTimeout(
             f"{address} did not answer in time, after"
-            f" {received_bytes(conn)} bytes",
+            f" {received_bytes(sock)} bytes",
             "check its load and its link",
         ) from error
     except (
@@ -291,11 +306,9 @@
         http.client.HTTPException,
         urllib3.exceptions.HTTPError,
     ) as error:
-        raise ResponseLost(
-            f"{address} gave no complete answer: {type(error).__name__} after"
-            f" {received_bytes(conn)} bytes",
-            "check whether it crashed",
-        ) from error
+        lost = lost_error(address, error, received_bytes(sock))
+        client.count_incomplete(lost.reason)
+        raise lost from error
     finally:
         if reusable:
             return_idle(client, address, pooled)
@@ -305,14 +318,14 @@
 
 def open_connection(
     client: Client, address: str, timeout_s: float
-) -> connection.HTTPConnection:
+) -> framing_client.Connection:
     """Opens a connection.
 
     Raises:
       ConnectFailed: The connection could not be opened in time.
     """
     host, _, port = address.rpartition(":")
-    conn = connection.HTTPConnection(
+    conn = framing_client.Connection(
         host, int(port), timeout=timeout_s, socket_options=SOCKET_OPTIONS
     )
     try:
@@ -328,16 +341,31 @@
     return conn
 
 
-def check_length(response: urllib3.HTTPResponse, max_bytes: int) -> None:
+def check_length(response: framing_client.Response, max_bytes: int) -> None:
     """Raises ResponseTooLong if the head names more bytes than may be read."""
-    length = response.headers.get("Content-Length", "")
-    if length.isdigit() and int(length) > max_bytes:
+    length = response.framing.length
+    if length > max_bytes:
         raise ResponseTooLong(f"the body has {length} bytes")
 
 
-def received_bytes(conn: connection.HTTPConnection) -> int:
+def received_bytes(sock: BoundedSocket) -> int:
     """Returns how much of the current response has arrived, head included."""
-    return conn.sock.max_bytes - conn.sock.bytes_left if conn.sock else 0
+    return sock.max_bytes - sock.bytes_left
+
+
+def lost_error(address: str, error: Exception, received: int) -> ResponseLost:
+    """Returns the error for a response that is missing or incomplete."""
+    if isinstance(error, heads.IncompleteResponse):
+        reason, expected = error.reason, error.expected
+    else:
+        is_missing = isinstance(error, http.client.RemoteDisconnected)
+        reason, expected = NO_RESPONSE if is_missing else RESET, None
+    lost = ResponseLost(
+        f"{address} gave no complete answer: {reason} after {received} bytes",
+        "check whether it crashed",
+    )
+    lost.reason, lost.received, lost.expected = reason, received, expected
+    return lost
 
 
 def remaining_s(deadline_s: float) -> float:
@@ -413,7 +441,7 @@
 
 
 def write_request(
-    conn: connection.HTTPConnection,
+    conn: framing_client.Connection,
     method: str,
     target: str,
     headers: Mapping[str, str],
@@ -496,22 +524,3 @@
     poller = select.poll()
     poller.register(sock.fileno(), select.POLLIN)
     return bool(poller.poll(0))
-
-
-def can_reuse(response: urllib3.HTTPResponse, method: str) -> bool:
-    """Returns whether the connection can be reused for another request."""
-    headers = response.headers
-    if "close" in headers.get("Connection", "").lower():
-        return False
-    is_framed = describe_framing(response, method) != UNTIL_CLOSE
-    return is_framed and response.version == 11
-
-
-def describe_framing(response: urllib3.HTTPResponse, method: str) -> str:
-    """Returns what marks the end of a response."""
-    headers = response.headers
-    if method == "HEAD" or response.status in (204, 304):
-        return NO_BODY
-    if "chunked" in headers.get("Transfer-Encoding", "").lower():
-        return CHUNKED
-    return LENGTH if "Content-Length" in headers else UNTIL_CLOSE
--- a/tools/check_imports.py
+++ b/tools/check_imports.py
@@ -7,7 +7,7 @@
 # A package may import packages that are listed before it, in its own layer or
 # in the layers above.
 LAYERS = (
-    ("model",),
+    ("model", "framing"),
     ("records", "telemetry"),
     ("store", "peers", "backend"),
     ("placement", "admission", "routing", "assignment"),
