Refuse an unframed response that is reset behind its end

Callers got half of a body as a complete success, with a length of its own. A response without a length ends with its connection, and one that is reset on the way is not complete. When a server ends the connection before it resets it, as Python's socketserver does with SO_LINGER, a read shows the end alone: Linux keeps the reset as the error of the socket.

The reader now looks for that error when such a response has ended, and waits for it up to 10 ms, because the reset comes behind the end. Responses with a length or in chunks are read as before. A reset that comes later, and a server that ends the connection and never resets it, can't be told from a complete response.

--- a/packages/framing/src/waxwinglever_framing/bodies.py
+++ b/packages/framing/src/waxwinglever_framing/bodies.py
@@ -2,6 +2,7 @@
 
 import io
 import re
+import select
 import socket
 from collections.abc import Iterator
 
@@ -16,6 +17,9 @@
 # int() takes signs, prefixes and underscores as well.
 CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(;[^\x00-\x08\x0a-\x1f]*)?")
 CRLF = b"\r\n"
+# A server that breaks off a response may end the connection before it resets
+# it. Both arrive within this time, unless the server is held up in between.
+RESET_WAIT_S = 0.01
 
 
 @attrs.define(eq=False)
@@ -82,8 +86,12 @@
     elif framing.kind == heads.CHUNKED:
         yield from read_chunks(source)
     elif framing.kind == heads.UNTIL_CLOSE:
+        received = 0
         while piece := read_some(source, PIECE_BYTES):
+            received += len(piece)
             yield piece
+        if was_reset(source.sock):
+            raise heads.IncompleteResponse(heads.RESET_AFTER_END, received)
 
 
 def read_length(source: Source, length: int) -> Iterator[bytes]:
@@ -137,3 +145,16 @@
     """Returns the error for a chunk that is cut or malformed."""
     reason = heads.SHORT_BODY if source.ended else heads.MALFORMED_CHUNK
     return heads.IncompleteResponse(reason, received)
+
+
+def was_reset(sock: socket.socket) -> bool:
+    """Returns whether a connection was reset behind its end.
+
+    A read shows the end alone; the kernel keeps the reset as an error of the
+    socket.
+    """
+    poller = select.poll()
+    # Errors are reported without being asked for.
+    poller.register(sock.fileno(), 0)
+    poller.poll(RESET_WAIT_S * 1000)
+    return bool(sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
--- a/packages/framing/src/waxwinglever_framing/heads.py
+++ b/packages/framing/src/waxwinglever_framing/heads.py
@@ -23,8 +23,9 @@
 UNCLEAR_LENGTH = "unclear-length"
 SHORT_BODY = "short-body"
 MALFORMED_CHUNK = "malformed-chunk"
+RESET_AFTER_END = "reset-after-end"
 # Reasons that a connection which breaks off explains.
-CUTS = frozenset((CUT_HEAD, SHORT_BODY))
+CUTS = frozenset((CUT_HEAD, SHORT_BODY, RESET_AFTER_END))
 
 STATUS_LINE = re.compile(
     rb"HTTP/1\.([01]) ([1-9][0-9]{2})(?: ([^\x00-\x08\x0a-\x1f\x7f]*))?"
--- a/packages/framing/tests/test_client.py
+++ b/packages/framing/tests/test_client.py
@@ -5,6 +5,7 @@
 import testtools
 import urllib3
 
+from waxwinglever_framing import bodies
 from waxwinglever_framing import client
 from waxwinglever_framing import heads
 from waxwinglever_standins import response_samples
@@ -86,10 +87,24 @@
                 scripted_server.CLOSE,
                 heads.MALFORMED_CHUNK,
             ),
+            (
+                response_samples.until_close()[:-1],
+                scripted_server.CLOSE_THEN_RESET,
+                heads.RESET_AFTER_END,
+            ),
         ):
             self.server.data, self.server.ending = data, ending
             self.assertEqual(reason, self.find_reason(), data[-40:])
 
+    def test_reset_that_comes_late_behind_the_end_is_seen(self):
+        self.server.data = response_samples.until_close()[:-1]
+        self.server.ending = scripted_server.CLOSE_THEN_RESET
+        self.server.reset_delay_s = bodies.RESET_WAIT_S / 5
+        self.assertEqual(
+            [heads.RESET_AFTER_END] * 20,
+            [self.find_reason() for _ in range(20)],
+        )
+
     def test_interim_responses_are_bounded(self):
         self.server.data = b"HTTP/1.1 100 Continue\r\n\r\n" * 100
         self.server.ending = scripted_server.KEEP_OPEN
