--- a/packages/bench/src/waxwinglever_bench/main.py
+++ b/packages/bench/src/waxwinglever_bench/main.py
@@ -7,6 +7,7 @@
 
 from waxwinglever_bench import bench as bench_module
 from waxwinglever_bench import demo as demo_module
+from waxwinglever_bench import exchange as exchange_module
 from waxwinglever_bench import explore_command
 from waxwinglever_bench import slopes as slopes_module
 from waxwinglever_bench import soak
@@ -46,6 +47,20 @@
             )
 
 
+@main.command()
+@click.option(
+    "--requests",
+    default=1_500,
+    show_default=True,
+    help="Requests in each of the rounds.",
+)
+def exchange(requests: int) -> None:
+    """Measures the processor time of a request with the daemons' client."""
+    for framing in exchange_module.FRAMINGS:
+        cost_us = exchange_module.measure(framing, requests)
+        click.echo(f"{framing}: {cost_us:.0f} microseconds a request")
+
+
 main.add_command(explore_command.explore)
 main.add_command(soak.soak)
 main.add_command(bench_module.bench)
