Refuse an unframed response with another one behind it

Callers got two responses as one body, with the length of both: a server that answers twice sends the second one behind the first, and nothing marks the end of a response without a length.

The reader now looks for the head of a response in such a body, up to the name of its first header, also where it lies across pieces, and for one that the end of the connection cuts. A body that quotes a status line alone passes.

--- a/packages/framing/src/waxwinglever_framing/bodies.py
+++ b/packages/framing/src/waxwinglever_framing/bodies.py
@@ -1,5 +1,6 @@
 """Bodies of HTTP responses, read to their end."""
 
+import http
 import io
 import re
 import select
@@ -17,6 +18,16 @@
 # int() takes signs, prefixes and underscores as well.
 CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(;[^\x00-\x08\x0a-\x1f]*)?")
 CRLF = b"\r\n"
+# The head of a second response, up to the name of its first header, and one
+# that the end of the connection cuts before that.
+STATUS_LINE = rb"HTTP/1\.[01] ([1-9][0-9]{2})(?: ([^\r\n]{0,200}))?"
+SECOND_HEAD = re.compile(
+    STATUS_LINE + rb"\r\n" + heads.NAME_CHARACTER + rb"{1,100}:"
+)
+CUT_SECOND_HEAD = re.compile(
+    STATUS_LINE + rb"(\r(?:\n" + heads.NAME_CHARACTER + rb"{0,100})?)?\Z"
+)
+MAX_SECOND_HEAD_BYTES = 330
 # A server that breaks off a response may end the connection before it resets
 # it. Both arrive within this time, unless the server is held up in between.
 RESET_WAIT_S = 0.01
@@ -86,12 +97,43 @@
     elif framing.kind == heads.CHUNKED:
         yield from read_chunks(source)
     elif framing.kind == heads.UNTIL_CLOSE:
-        received = 0
-        while piece := read_some(source, PIECE_BYTES):
-            received += len(piece)
-            yield piece
-        if was_reset(source.sock):
-            raise heads.IncompleteResponse(heads.RESET_AFTER_END, received)
+        yield from read_until_close(source)
+
+
+def read_until_close(source: Source) -> Iterator[bytes]:
+    """Yields all bytes up to the end of the connection.
+
+    A server that answers twice sends its second response behind the first one,
+    where nothing marks the end of that.
+    """
+    received = 0
+    tail = b""
+    while piece := read_some(source, PIECE_BYTES):
+        received += len(piece)
+        tail = tail[-MAX_SECOND_HEAD_BYTES:] + piece
+        if SECOND_HEAD.search(tail):
+            raise heads.IncompleteResponse(heads.SECOND_RESPONSE, received)
+        yield piece
+    if ends_with_cut_head(tail):
+        raise heads.IncompleteResponse(heads.SECOND_RESPONSE, received)
+    if was_reset(source.sock):
+        raise heads.IncompleteResponse(heads.RESET_AFTER_END, received)
+
+
+def ends_with_cut_head(tail: bytes) -> bool:
+    """Returns whether a body ends with the begin of another response."""
+    match = CUT_SECOND_HEAD.search(tail)
+    if match is None:
+        return False
+    status, phrase, line_end = match.groups(b"")
+    if line_end:
+        return True
+    # Text that quotes a status line goes on otherwise.
+    try:
+        known_phrase = http.HTTPStatus(int(status)).phrase
+    except ValueError:
+        known_phrase = ""
+    return known_phrase.startswith(phrase.decode("latin-1"))
 
 
 def read_length(source: Source, length: int) -> Iterator[bytes]:
--- a/packages/framing/src/waxwinglever_framing/heads.py
+++ b/packages/framing/src/waxwinglever_framing/heads.py
@@ -24,14 +24,16 @@
 SHORT_BODY = "short-body"
 MALFORMED_CHUNK = "malformed-chunk"
 RESET_AFTER_END = "reset-after-end"
+SECOND_RESPONSE = "second-response"
 # Reasons that a connection which breaks off explains.
 CUTS = frozenset((CUT_HEAD, SHORT_BODY, RESET_AFTER_END))
 
 STATUS_LINE = re.compile(
     rb"HTTP/1\.([01]) ([1-9][0-9]{2})(?: ([^\x00-\x08\x0a-\x1f\x7f]*))?"
 )
+NAME_CHARACTER = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]"
 HEADER = re.compile(
-    rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*([^\x00-\x08\x0a-\x1f\x7f]*)"
+    rb"(" + NAME_CHARACTER + rb"+):[ \t]*([^\x00-\x08\x0a-\x1f\x7f]*)"
 )
 # int() takes signs, spaces, underscores and digits of other scripts as well.
 DIGITS = re.compile(r"[0-9]{1,18}")
--- a/packages/framing/tests/test_bodies.py
+++ b/packages/framing/tests/test_bodies.py
@@ -94,6 +94,26 @@
             self.assertIn(b"0\r\n", data)
             self.assertLess(len(body), len(data))
 
+    @hypothesis.given(SIZES, strategies.integers(12, 150))
+    def test_second_response_behind_an_unframed_one_is_seen(self, sizes, size):
+        # Both reached the caller as one body.
+        data = response_samples.until_close()
+        second = response_samples.until_close(b"X-Id: 1")
+        self.assertEqual((response_samples.BODY, b""), self.read(data, sizes))
+        error = self.assertRaises(
+            heads.IncompleteResponse, self.read, data + second[:size], sizes
+        )
+        self.assertEqual(heads.SECOND_RESPONSE, error.reason)
+
+    def test_unframed_body_may_quote_a_status_line(self):
+        head = response_samples.make_head()
+        for body in (
+            b"The server sends HTTP/1.1 200 OK and a body.",
+            b"HTTP/1.1 404 Not Found\nContent-Length: 0\n\n",
+            b"HTTP/1.1 is the version.\r\nName: value\r\n",
+        ):
+            self.assertEqual((body, b""), self.read(head + body, [7]))
+
     def test_short_body_tells_what_is_missing(self):
         data = response_samples.whole()["length"].data[:-250]
         error = self.assertRaises(
