Refuse an answer without an id on a connection in use again

A late copy of an earlier answer whose id was missing or spoilt was given to the next request on the connection: the caller got another request's body, signed, as a success. An answer without an id passed the check, and closing the connection behind it is too late.

Backend servers echo the id, so an answer that names none now counts as lost on a connection that has carried another request. On a new connection it passes as before.

--- a/packages/relay/src/waxwinglever_relay/http_client.py
+++ b/packages/relay/src/waxwinglever_relay/http_client.py
@@ -222,9 +222,10 @@
       caller: The connection of the caller that waits for the response, if any.
       check: Called with the complete response; raises ResponseLost if it can't
         be the response to this request. The connection is not reused then, as
-        the next response on it may belong to this request, nor if `check`
-        returns False, as a second copy of the response could not be told from
-        the next one.
+        the next response on it may belong to this request. If `check` returns
+        False, a second copy of the response could not be told from the next
+        one. The connection is not reused then either, and the response counts
+        as lost if the connection has carried other requests.
       stall_s: If given, the response need only begin by the deadline. It may
         then take as long as its size needs, while no pause in it is longer than
         this and it arrives at MIN_BYTES_PER_S at least.
@@ -249,6 +250,7 @@
     pooled = None
     if not single_use:
         pooled = take_idle(client, address, request_id)
+    is_reused = pooled is not None
     if pooled is None and connect_timeout_s is None:
         timeout_s = min(client.connect_timeout_s, remaining_s(deadline_s))
         pooled = PooledConnection(open_connection(client, address, timeout_s))
@@ -283,6 +285,11 @@
             )
         client.count_response(response.framing.kind)
         is_told_apart = check(complete)
+        if is_reused and not is_told_apart:
+            raise ResponseLost(
+                f"{address} gave an answer that may be a copy of an earlier one",
+                "name the request in each response",
+            )
         reusable = (
             is_told_apart
             and body_sent
