Refuse an unframed response whose server is gone at its end

Nothing on the connection tells the part from the whole.

The kernel closes the listener and all other connections of the process as well. So such a response counts only if an idle connection to the server is still open, or a new one, which takes the place of the one that has ended, is not refused.

--- a/packages/relay/src/waxwinglever_relay/http_client.py
+++ b/packages/relay/src/waxwinglever_relay/http_client.py
@@ -45,6 +45,7 @@
 # Why a response is missing, beside the reasons of framing.heads.
 NO_RESPONSE = "no-response"
 RESET = "reset"
+SERVER_GONE = "server-gone"
 
 SOCKET_OPTIONS = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
@@ -57,17 +58,22 @@
 
 
 class ConnectFailed(exceptions.WaxwingleverError):
-    """No connection could be opened; nothing was sent."""
+    """No connection could be opened; nothing was sent.
+
+    Attributes:
+      refused: Whether the address refused it, as nobody listens there.
+    """
 
     kind = "not-connected"
+    refused = False
 
 
 class ResponseLost(exceptions.WaxwingleverError):
     """The request was sent, but no complete response was received.
 
     Attributes:
-      reason: Why: a reason of framing.heads, RESET, NO_RESPONSE, or '' if it
-        was complete, but not the response to the request.
+      reason: Why: a reason of framing.heads, RESET, NO_RESPONSE or SERVER_GONE;
+        '' if it was complete, but not the response to the request.
       received: How many bytes of the response arrived, head included.
       expected: How many bytes its body should have, or None if unknown.
     """
@@ -84,6 +90,10 @@
     kind = "answer-too-large"
 
 
+class ServerGone(ConnectionError):
+    """The server has ended together with its response."""
+
+
 class ResponseTooLong(OSError):
     """The response has more bytes than the caller takes."""
 
@@ -208,6 +218,7 @@
     max_bytes: int = MAX_RESPONSE_BYTES,
     request_id: str = "",
     single_use: bool = False,
+    check_server: bool = False,
 ) -> Response:
     """Sends a request and returns its complete response.
 
@@ -283,11 +294,13 @@
                 tuple((n.lower(), v) for n, v in response.headers.items()),
                 response.read(),
             )
+        if check_server and response.framing.kind == heads.UNTIL_CLOSE:
+            check_accepts_connections(client, address, deadline_s)
         client.count_response(response.framing.kind)
         is_told_apart = check(complete)
         if is_reused and not is_told_apart:
             raise ResponseLost(
-                f"{address} gave an answer that may be a copy of an earlier one",
+                f"{address} gave an answer that may be a copy of another one",
                 "name the request in each response",
             )
         reusable = (
@@ -340,14 +353,39 @@
         conn.sock = BoundedSocket(fileno=conn.sock.detach())
     except (OSError, urllib3.exceptions.HTTPError) as error:
         conn.close()
-        raise ConnectFailed(
+        failure = ConnectFailed(
             f"no connection to {address}: {type(error).__name__}",
             "check that it runs and is reachable",
-        ) from error
+        )
+        failure.refused = isinstance(error.__cause__, ConnectionRefusedError)
+        raise failure from error
     client.opened += 1
     return conn
 
 
+def check_accepts_connections(
+    client: Client, address: str, deadline_s: float
+) -> None:
+    """Raises ConnectionError if nobody listens at an address.
+
+    An idle connection that is still open shows that the server runs. Without
+    one a connection is opened, which the next request uses.
+    """
+    with client.lock:
+        idle = list(client.idle_connections.get(address, ()))
+    if any(not is_readable(item.connection.sock) for item in idle):
+        return
+    timeout_s = min(client.connect_timeout_s, remaining_s(deadline_s))
+    try:
+        conn = open_connection(client, address, timeout_s)
+    except ConnectFailed as error:
+        if error.refused:
+            raise ServerGone("the server does not listen any more") from error
+        # The network may be at fault, and the response has ended.
+        return
+    return_idle(client, address, PooledConnection(conn))
+
+
 def check_length(response: framing_client.Response, max_bytes: int) -> None:
     """Raises ResponseTooLong if the head names more bytes than may be read."""
     length = response.framing.length
@@ -365,8 +403,11 @@
     if isinstance(error, heads.IncompleteResponse):
         reason, expected = error.reason, error.expected
     else:
-        is_missing = isinstance(error, http.client.RemoteDisconnected)
-        reason, expected = NO_RESPONSE if is_missing else RESET, None
+        reason, expected = RESET, None
+        if isinstance(error, http.client.RemoteDisconnected):
+            reason = NO_RESPONSE
+        elif isinstance(error, ServerGone):
+            reason = SERVER_GONE
     lost = ResponseLost(
         f"{address} gave no complete answer: {reason} after {received} bytes",
         "check whether it crashed",
