Read the backend servers' responses with framing

Callers of the daemon could get a part of a backend server's body as a complete success, with a length of its own. The client checked that a head has its empty line and that a length or `chunked` is named, but left the rest to http.client, which takes a length that it can't read for none, and chunks that break off in their last size or trailers, or have a wrong byte behind them, for complete. A connection with bytes behind a response was used again, so that the next request could get them as its response.

The pool's connections are now those of framing.client. Its new class FramedConnection refuses a response that ends with its connection, as the client did. A response that is cut still counts as a crash of the server (heads.CUTS), a malformed one as a response that can't be read.

--- a/packages/backend/src/waxwinglever_backend/http.py
+++ b/packages/backend/src/waxwinglever_backend/http.py
@@ -7,11 +7,11 @@
 import typing
 import urllib.parse
 
-import attrs
 import urllib3
-import urllib3.connection
 
 from waxwinglever_backend import client as backend_client
+from waxwinglever_framing import client as framing_client
+from waxwinglever_framing import heads
 from waxwinglever_model import exceptions
 from waxwinglever_model import limits
 
@@ -38,7 +38,6 @@
         "upgrade",
     )
 )
-BODILESS_STATUSES = (204, 304)
 # Errors that occur before any byte of the request is sent.
 NOT_SENT_ERRORS = (
     urllib3.exceptions.NewConnectionError,
@@ -47,46 +46,9 @@
 )
 
 
-@attrs.define(eq=False)
-class LastLineReader:
-    """Reads the lines of a response and keeps the last one."""
-
-    file: typing.BinaryIO
-    last_line: bytes = b""
-
-    def readline(self, limit: int = -1) -> bytes:
-        self.last_line = self.file.readline(limit)
-        return self.last_line
-
-    def close(self) -> None:
-        self.file.close()
-
-
-class CompleteResponse(http.client.HTTPResponse):
-    """A response that must contain its complete header block.
-
-    http.client treats the end of the connection as the end of the headers, so
-    a response cut off within its headers would seem complete.
-    """
-
-    def begin(self) -> None:
-        reader = LastLineReader(self.fp)
-        self.fp = reader
-        try:
-            super().begin()
-        finally:
-            # begin() closes the file, and sets fp to None, if the response has
-            # no body.
-            if self.fp is reader:
-                self.fp = reader.file
-        if reader.last_line not in (b"\r\n", b"\n"):
-            raise http.client.IncompleteRead(reader.last_line)
-
-
-class IdleLimitedConnection(urllib3.connection.HTTPConnection):
+class IdleLimitedConnection(framing_client.FramedConnection):
     """A connection that counts as closed after MAX_IDLE_S without use."""
 
-    response_class = CompleteResponse
     last_used_s = 0.0
 
     def request(self, *args: typing.Any, **kwargs: typing.Any) -> None:
@@ -104,7 +66,7 @@
         return super().is_connected and idle_s < MAX_IDLE_S
 
 
-class IdleLimitedPool(urllib3.HTTPConnectionPool):
+class IdleLimitedPool(framing_client.FramedConnectionPool):
     """A pool that does not reuse connections idle for MAX_IDLE_S or longer."""
 
     ConnectionCls = IdleLimitedConnection
@@ -146,7 +108,6 @@
                 decode_content=False,
             )
             body = read_body(response, deadline_s, limits.MAX_BODY_BYTES)
-            check_body_framing(request, response)
         except (urllib3.exceptions.HTTPError, ValueError) as error:
             raise send_error(address, error) from error
         headers = tuple(
@@ -258,23 +219,6 @@
     return b"".join(chunks)
 
 
-def check_body_framing(
-    request: backend_client.BackendRequest, response: urllib3.BaseHTTPResponse
-) -> None:
-    """Raises HTTPError if only the end of the connection delimits the body.
-
-    Such a body can't be distinguished from one that was cut off.
-    """
-    if request.method == "HEAD" or response.status in BODILESS_STATUSES:
-        return
-    transfer_encoding = response.headers.get("Transfer-Encoding", "").lower()
-    if (
-        transfer_encoding != "chunked"
-        and "Content-Length" not in response.headers
-    ):
-        raise urllib3.exceptions.HTTPError("the response states no body length")
-
-
 def send_error(address: str, error: Exception) -> exceptions.Refusal:
     """Returns the exception for a request without a complete response.
 
@@ -299,8 +243,12 @@
             f"request can't be sent: {error}",
             "correct the method, path or headers",
         )
-    connection_broken = isinstance(
-        cause, (ConnectionError, http.client.IncompleteRead)
+    is_cut = (
+        isinstance(cause, heads.IncompleteResponse)
+        and cause.reason in heads.CUTS
+    )
+    connection_broken = (
+        is_cut or isinstance(cause, ConnectionError)
     ) and not isinstance(error, urllib3.exceptions.TimeoutError)
     return backend_client.ResponseLost(
         f"backend server {address} sent no complete response: {error}",
--- a/packages/backend/tests/test_http.py
+++ b/packages/backend/tests/test_http.py
@@ -35,6 +35,8 @@
     (CHUNKED + b"3\r\nabc\r\n", True),
     (CHUNKED + b"5\r\nabc", True),
     (OK + b"\r\nabc", False),
+    (OK + b"Content-Length: 10x\r\n\r\nabc", False),
+    (CHUNKED + b"5\r\nabcdefgh\r\n0\r\n\r\n", False),
     (None, False),
     (OVERSIZED + b"x" * 5_000_000, False),
     (b"garbage\r\n\r\n", False),
--- a/packages/framing/src/waxwinglever_framing/client.py
+++ b/packages/framing/src/waxwinglever_framing/client.py
@@ -107,6 +107,21 @@
         self.will_close = self.framing.closes
 
 
+class FramedResponse(Response):
+    """A response whose end does not depend on that of its connection."""
+
+    def begin(self) -> None:
+        """Reads the head; see Response.begin.
+
+        Raises:
+          IncompleteResponse: The response would end with its connection, and so
+            could not be told from one that was cut off.
+        """
+        super().begin()
+        if self.framing.kind == heads.UNTIL_CLOSE:
+            raise heads.IncompleteResponse(heads.UNCLEAR_LENGTH, 0)
+
+
 def read_head(source: bodies.Source) -> heads.Head:
     """Returns the next head that is not one of an interim response.
 
@@ -145,18 +160,33 @@
         return http.client.HTTPConnection.getresponse(self)
 
 
+class FramedConnection(Connection):
+    """A connection for servers that mark the end of all their responses."""
+
+    response_class = FramedResponse
+
+
 class ConnectionPool(urllib3.HTTPConnectionPool):
     """A pool of connections whose responses are complete."""
 
     ConnectionCls = Connection
 
 
-def new_pool_manager(**options) -> urllib3.PoolManager:
+class FramedConnectionPool(urllib3.HTTPConnectionPool):
+    """A pool for a server that marks the end of all its responses."""
+
+    ConnectionCls = FramedConnection
+
+
+def new_pool_manager(
+    pool_class: type[urllib3.HTTPConnectionPool] = ConnectionPool, **options
+) -> urllib3.PoolManager:
     """Returns a manager of pools whose responses are complete.
 
     Args:
+      pool_class: ConnectionPool or FramedConnectionPool.
       **options: Options of urllib3.PoolManager.
     """
     manager = urllib3.PoolManager(**options)
-    manager.pool_classes_by_scheme = {"http": ConnectionPool}
+    manager.pool_classes_by_scheme = {"http": pool_class}
     return manager
--- a/packages/framing/tests/test_client.py
+++ b/packages/framing/tests/test_client.py
@@ -56,6 +56,14 @@
             self.assertEqual(response_samples.BODY, self.get().data)
         self.assertEqual(2, self.server.connections)
 
+    def test_framed_pool_refuses_a_response_without_length(self):
+        # It could not be told from one that was cut off.
+        host, _, port = self.server.address.rpartition(":")
+        self.pool = client.FramedConnectionPool(host, int(port))
+        self.addCleanup(self.pool.close)
+        self.server.data = response_samples.until_close()
+        self.assertEqual(heads.UNCLEAR_LENGTH, self.find_reason())
+
     def test_response_can_be_read_in_parts(self):
         self.server.data = response_samples.whole()["chunks"].data
         response = self.get(preload_content=False)
--- a/packages/standins/src/waxwinglever_standins/response_samples.py
+++ b/packages/standins/src/waxwinglever_standins/response_samples.py
@@ -37,30 +37,33 @@
     )
 
 
-def whole(*headers: bytes) -> dict[str, Sample]:
+def whole(*headers: bytes, body: bytes = BODY) -> dict[str, Sample]:
     """Returns responses whose end does not depend on the connection.
 
     Args:
       *headers: Lines that each head begins with.
+      body: The body, of 600 bytes.
     """
     chunked = make_head(b"Transfer-Encoding: chunked", headers=headers)
-    length = make_head(b"Content-Length: %d" % len(BODY), headers=headers)
+    length = make_head(b"Content-Length: %d" % len(body), headers=headers)
     return {
-        "length": Sample(length + BODY),
+        "length": Sample(length + body, body=body),
         "empty body": Sample(
             make_head(b"Content-Length: 0", headers=headers), body=b""
         ),
-        "chunks": Sample(chunked + encode_chunks(BODY)),
+        "chunks": Sample(chunked + encode_chunks(body), body=body),
         "chunks with extensions and trailers": Sample(
             chunked
             + b"258;name=value\r\n"
-            + BODY
-            + b"\r\n000;last\r\nX-Trailer: 1\r\n\r\n"
+            + body
+            + b"\r\n000;last\r\nX-Trailer: 1\r\n\r\n",
+            body=body,
         ),
         "interim response": Sample(
             b"HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n"
             + length
-            + BODY
+            + body,
+            body=body,
         ),
         "no content": Sample(
             make_head(status_line=b"HTTP/1.1 204 No Content", headers=headers),
@@ -69,21 +72,22 @@
         ),
         "no reason phrase": Sample(
             make_head(
-                b"content-length:%d" % len(BODY),
+                b"content-length:%d" % len(body),
                 status_line=b"HTTP/1.1 200",
                 headers=headers,
             )
-            + BODY
+            + body,
+            body=body,
         ),
     }
 
 
-def until_close(*headers: bytes) -> bytes:
+def until_close(*headers: bytes, body: bytes = BODY) -> bytes:
     """Returns a response that ends with its connection."""
-    return make_head(headers=headers) + BODY
+    return make_head(headers=headers) + body
 
 
-def malformed(*headers: bytes) -> dict[str, bytes]:
+def malformed(*headers: bytes, body: bytes = BODY) -> dict[str, bytes]:
     """Returns responses that no reader may take for complete.
 
     Each goes on until the server ends the connection, and has a part of the
@@ -91,9 +95,10 @@
 
     Args:
       *headers: Lines that each head begins with.
+      body: The body, of 600 bytes.
     """
-    half = BODY[:300]
-    full_length = b"Content-Length: %d" % len(BODY)
+    half = body[:300]
+    full_length = b"Content-Length: %d" % len(body)
     heads = {
         "line without a colon": (b"garbage", full_length),
         "length without a colon": (b"Content-Length 600",),
