Read the responses of forwarded requests with framing

A caller whose request was forwarded to another daemon could get a part of the response as complete. The forwarder took a response for whole when its four headers were there, Content-Length last. A head that was cut inside the digits of that header, or behind them, passed with an empty body, and so did a part of a body whose length http.client could not read or that named both a length and chunks. One malformed response raised an OverflowError in place of a refusal, and a connection with bytes behind a response was used again.

The forwarder's pools are those of framing.client and refuse a response without a length, as a daemon always sends one. The check for the headers of a daemon stays for the three that say what became of the request, since the HTTP server itself answers without them; it has its own message now.

--- a/packages/front/src/waxwinglever_front/forward.py
+++ b/packages/front/src/waxwinglever_front/forward.py
@@ -4,6 +4,7 @@
 
 import urllib3
 
+from waxwinglever_framing import client as framing_client
 from waxwinglever_front import concurrency
 from waxwinglever_front import http_codec
 from waxwinglever_front import http_messages
@@ -30,7 +31,8 @@
       source_address: Local IP to connect from.
       peer_limits: Limits the requests that wait for one daemon.
     """
-    pools = urllib3.PoolManager(
+    pools = framing_client.new_pool_manager(
+        framing_client.FramedConnectionPool,
         num_pools=MAX_POOLS,
         maxsize=CONNECTIONS_PER_DAEMON,
         block=False,
@@ -83,9 +85,9 @@
                 f"the daemon at {address} did not answer: {error}",
                 "check whether the request took effect before sending it again",
             ) from error
-        if not has_all_headers(response):
+        if not has_routing_headers(response):
             raise exceptions.OutcomeUnknown(
-                f"the response of the daemon at {address} was incomplete",
+                f"the response of {address} is not one of a daemon",
                 "check whether the request took effect before sending it again",
             )
         return http_codec.parse_response(
@@ -95,16 +97,15 @@
     return forward
 
 
-def has_all_headers(response: urllib3.BaseHTTPResponse) -> bool:
-    """Returns whether all headers of a daemon's response arrived.
+def has_routing_headers(response: urllib3.BaseHTTPResponse) -> bool:
+    """Returns whether a response has the headers that all daemons send.
 
-    http.client treats the end of the connection as the end of the headers, so
-    a response that is cut off there would look like one with a shorter body.
+    The HTTP server of a daemon, or another program at its address, may respond
+    without them; that does not tell whether the request ran.
     """
     names = (
         http_codec.OUTCOME_HEADER,
         http_codec.OWNER_HEADER,
         http_codec.MAP_VERSION_HEADER,
-        "Content-Length",
     )
     return all(name in response.headers for name in names)
