Read the store's responses with framing

A daemon could take a store's response that broke off for another result. A 404 that was cut anywhere behind its status, 33 of its 45 bytes, said that a key does not exist; a cut 409 said that a write lost against another one; a cut 304 that a watched key has not changed. http.client ends a head at the end of the connection, and the client decides by the status alone in these cases. JSON protected the other results only as far as the part was no document.

The pools are those of framing.client. They refuse a response without a length: the store's protocol states one for each response, and one without it can't be told from one that was cut.

--- a/packages/store/src/waxwinglever_store/http.py
+++ b/packages/store/src/waxwinglever_store/http.py
@@ -7,6 +7,7 @@
 import attrs
 import urllib3
 
+from waxwinglever_framing import client as framing_client
 from waxwinglever_model import exceptions
 from waxwinglever_model import limits
 from waxwinglever_store import client
@@ -40,12 +41,13 @@
     """
     host, _, port = address.rpartition(":")
     source = (source_address, 0) if source_address else None
-    pool = urllib3.HTTPConnectionPool(
+    # The store states the length of all its responses.
+    pool = framing_client.FramedConnectionPool(
         host, int(port), maxsize=POOL_SIZE, source_address=source
     )
     # Watches have their own pool, so that they don't displace the connections
     # of short calls.
-    watch_pool = urllib3.HTTPConnectionPool(
+    watch_pool = framing_client.FramedConnectionPool(
         host, int(port), maxsize=POOL_SIZE, source_address=source
     )
 
