Read the daemons' pages with framing

An operator could see a part of a page as the whole one. The tool read responses with http.client, which takes a head with a malformed line or an unreadable length for one without a length, and the end of the connection for the end of the page, also if a reset is behind it. The JSON parser refused most parts, but not those that are a document themselves, as a page that lacks its end behind the last bracket. Such a response says that the daemon was cut off, and its page should not be relied on.

The tool's connections are those of framing.client. A page without a length is still read to the end of its connection.

Four of the five tests of standins.reader_suite failed before: 26 of 46 malformed responses passed, chunks passed without their last bytes, a page passed whose connection was reset, and a 103 counted as the status. All pass now.

--- a/packages/cli/src/waxwinglever_cli/daemon_client.py
+++ b/packages/cli/src/waxwinglever_cli/daemon_client.py
@@ -4,6 +4,7 @@
 
 import urllib3
 
+from waxwinglever_framing import client as framing_client
 from waxwinglever_model import exceptions
 from waxwinglever_model import limits
 
@@ -27,7 +28,9 @@
       PeerUnavailable: The daemon sent no usable response.
     """
     try:
-        with urllib3.PoolManager(retries=False, timeout=TIMEOUT_S) as pool:
+        with framing_client.new_pool_manager(
+            retries=False, timeout=TIMEOUT_S
+        ) as pool:
             response = pool.request(
                 "GET",
                 f"http://{address}{path}",
