Refuse an unframed response whose request could not be sent

A part of a response could look complete to a client that takes responses without a length, such as the command-line tool. If the server resets the connection while the request is being sent, the send gets the error; urllib3 ignores it and reads the response. The kernel reports a reset once, so that the reads behind it end as on a regular end of the connection, and the look at the socket's error finds none.

The connection now remembers that a send has failed, and its next response is refused with `reset-after-end` if it would end with the connection. One with a length or in chunks passes as before, since its framing shows that it is whole. A server that answers a large request without a length and closes the connection before it has read the request is refused too: its close resets the connection.

The relay is not affected: it gives a response up when a send fails.

--- a/packages/framing/src/waxwinglever_framing/bodies.py
+++ b/packages/framing/src/waxwinglever_framing/bodies.py
@@ -31,12 +31,14 @@
       raw: Its unbuffered file.
       pending: Bytes that were received and not read yet.
       ended: Whether the end of the connection was received.
+      send_failed: Whether the request could not be sent to its end.
     """
 
     sock: socket.socket
     raw: io.RawIOBase
     pending: bytes = b""
     ended: bool = False
+    send_failed: bool = False
 
 
 def receive(source: Source) -> bool:
@@ -90,7 +92,8 @@
         while piece := read_some(source, PIECE_BYTES):
             received += len(piece)
             yield piece
-        if was_reset(source.sock):
+        # The kernel reports a reset once, and the send may have got it.
+        if source.send_failed or was_reset(source.sock):
             raise heads.IncompleteResponse(heads.RESET_AFTER_END, received)
 
 
--- a/packages/framing/src/waxwinglever_framing/client.py
+++ b/packages/framing/src/waxwinglever_framing/client.py
@@ -1,9 +1,11 @@
 """Connections of urllib3 that return complete responses only."""
 
 import contextlib
+import functools
 import http.client
 import io
 import socket
+import typing
 from collections.abc import Iterator
 
 import urllib3
@@ -66,6 +68,7 @@
     Attributes:
       sock: The connection that it arrives on.
       framing: How its end is found; set by begin().
+      send_failed: Whether the request could not be sent to its end.
     """
 
     def __init__(
@@ -74,11 +77,13 @@
         debuglevel: int = 0,
         method: str | None = None,
         url: str | None = None,
+        send_failed: bool = False,
     ):
         super().__init__(sock, debuglevel, method, url)
         self.sock = sock
         self.method = method or "GET"
         self.framing: heads.Framing | None = None
+        self.send_failed = send_failed
 
     def begin(self) -> None:
         """Reads the head; see http.client.HTTPResponse.begin.
@@ -91,7 +96,7 @@
             return
         # A buffer of the file would hide what follows the response.
         self.fp = self.fp.detach()
-        source = bodies.Source(self.sock, self.fp)
+        source = bodies.Source(self.sock, self.fp, send_failed=self.send_failed)
         head = read_head(source)
         self.framing = heads.find_framing(head, self.method)
         self.fp = BodyFile(source, bodies.read_pieces(source, self.framing))
@@ -151,6 +156,22 @@
 
     response_class = Response
 
+    def connect(self) -> None:
+        """Opens the connection; see urllib3's HTTPConnection.connect."""
+        self.response_class = type(self).response_class
+        super().connect()
+
+    def send(self, data: typing.Any) -> None:
+        """Sends a part of a request; see http.client.HTTPConnection.send."""
+        try:
+            super().send(data)
+        except OSError:
+            # urllib3 reads the response after some of these errors.
+            self.response_class = functools.partial(
+                type(self).response_class, send_failed=True
+            )
+            raise
+
     def read_response(self) -> Response:
         """Returns the response to the request that was sent, unread.
 
--- a/packages/framing/tests/test_client.py
+++ b/packages/framing/tests/test_client.py
@@ -12,6 +12,8 @@
 from waxwinglever_standins import scripted_server
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
+# More than the buffers of a connection hold.
+LARGE_BODY = b"x" * 8_000_000
 
 
 class ClientTest(testtools.TestCase):
@@ -29,9 +31,11 @@
         """Returns the response of the server, read to its end."""
         return self.pool.urlopen("GET", "/", retries=False, **options)
 
-    def find_reason(self) -> str:
+    def find_reason(self, **options) -> str:
         """Returns why the response of the server is not complete."""
-        error = self.assertRaises(urllib3.exceptions.ProtocolError, self.get)
+        error = self.assertRaises(
+            urllib3.exceptions.ProtocolError, self.get, **options
+        )
         cause = error.args[1]
         if isinstance(cause, http.client.RemoteDisconnected):
             return "disconnected"
@@ -113,6 +117,27 @@
             [self.find_reason() for _ in range(20)],
         )
 
+    def test_reset_that_ends_the_sending_of_a_request_is_not_forgotten(self):
+        # urllib3 ignores the error of the send, and the kernel reports a reset
+        # only once, so that the end of the connection seemed to be regular.
+        self.server.data = response_samples.until_close()[:-300]
+        self.server.ending = scripted_server.RESET
+        self.server.reads_bodies = False
+        reasons = [self.find_reason(body=LARGE_BODY) for _ in range(20)]
+        self.assertEqual([heads.RESET_AFTER_END] * 20, reasons)
+
+    def test_response_with_length_passes_if_the_request_is_cut_off(self):
+        # A server may refuse a request before it has read the whole body.
+        self.server.data = response_samples.whole()["length"].data
+        self.server.ending = scripted_server.RESET
+        self.server.reads_bodies = False
+        for _ in range(20):
+            response = self.get(body=LARGE_BODY)
+            self.assertEqual(response_samples.BODY, response.data)
+        self.server.data = response_samples.until_close()
+        self.server.ending = scripted_server.CLOSE
+        self.assertEqual(response_samples.BODY, self.get().data)
+
     def test_interim_responses_are_bounded(self):
         self.server.data = b"HTTP/1.1 100 Continue\r\n\r\n" * 100
         self.server.ending = scripted_server.KEEP_OPEN
--- a/packages/standins/src/waxwinglever_standins/scripted_server.py
+++ b/packages/standins/src/waxwinglever_standins/scripted_server.py
@@ -29,6 +29,7 @@
       data: Bytes of the answer.
       ending: What becomes of the connection behind them, one of ENDINGS.
       reset_delay_s: Time between the end of a connection and its reset.
+      reads_bodies: Whether it reads a request to its end before it answers.
       requests: The requests that arrived, as they were sent.
       connections: How many connections were accepted.
     """
@@ -38,6 +39,7 @@
     data: bytes = b""
     ending: str = CLOSE
     reset_delay_s: float = 0.0
+    reads_bodies: bool = True
     requests: list[bytes] = attrs.field(factory=list)
     connections: int = 0
 
@@ -77,7 +79,7 @@
     with sock:
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            while request := read_request(sock):
+            while request := read_request(sock, server.reads_bodies):
                 server.requests.append(request)
                 sock.sendall(server.data)
                 if server.ending != KEEP_OPEN:
@@ -88,8 +90,13 @@
             return
 
 
-def read_request(sock: socket.socket) -> bytes:
-    """Returns a request whose body has a length; empty at the end."""
+def read_request(sock: socket.socket, reads_body: bool = True) -> bytes:
+    """Returns a request whose body has a length; empty at the end.
+
+    Args:
+      sock: The connection.
+      reads_body: Whether to read the body to its end.
+    """
     data = b""
     while b"\r\n\r\n" not in data:
         received = sock.recv(65_536)
@@ -98,7 +105,7 @@
         data += received
     head, _, body = data.partition(b"\r\n\r\n")
     length = CONTENT_LENGTH.search(head)
-    missing = int(length[1]) - len(body) if length else 0
+    missing = int(length[1]) - len(body) if length and reads_body else 0
     while missing > 0:
         received = sock.recv(min(missing, 65_536))
         if not received:
