Share the tests of the relay's reader with the other readers

The relay's tests of incomplete responses had the bodies that standins.reader_suite has now. They inherit the suite, which takes over what only they had: the body of a response without a length is compared, and a head without a length is cut at every byte.

--- a/packages/standins/src/waxwinglever_standins/reader_suite.py
+++ b/packages/standins/src/waxwinglever_standins/reader_suite.py
@@ -92,10 +92,12 @@
 
     def test_responses_without_length_are_refused_if_they_are_reset(self):
         data = response_samples.until_close(*self.headers, body=self.body)
-        self.assertEqual(
-            self.takes_unframed,
-            not self.is_refused(data, scripted_server.CLOSE),
-        )
+        if self.takes_unframed:
+            self.server.data, self.server.ending = data, scripted_server.CLOSE
+            whole = response_samples.Sample(data, body=self.body)
+            self.assertEqual(self.expected(whole), self.read())
+        else:
+            self.assertTrue(self.is_refused(data, scripted_server.CLOSE))
         for ending in (scripted_server.RESET, scripted_server.CLOSE_THEN_RESET):
             self.assertEqual(
                 [True] * 50,
@@ -103,6 +105,15 @@
                 ending,
             )
 
+    def test_cut_heads_without_length_are_refused(self):
+        data = response_samples.until_close(*self.headers, body=self.body)
+        taken = [
+            size
+            for size in range(data.index(b"\r\n\r\n") + 4)
+            if not self.is_refused(data[:size], scripted_server.CLOSE)
+        ]
+        self.assertEqual([], taken)
+
     def test_connection_with_bytes_behind_a_response_is_not_used_again(self):
         length = self.whole_samples()["length"]
         self.server.data = length.data + length.data[:100]
