Read responses in the bench with framing

The bench's callers could miss the faults that they look for. They read responses with plain urllib3: a head cut anywhere behind its status, or a part of a body without a length, counted as a complete response, and a connection with bytes behind a response was used again.

Their pools, and that of the stand-in server's announcements, are those of framing.client and refuse a response without a length, as the product's daemons always send one. The type of the pools and their calls are unchanged.

All six tests of standins.reader_suite failed on the callers before and pass now.

--- a/packages/bench/src/waxwinglever_bench/fleet.py
+++ b/packages/bench/src/waxwinglever_bench/fleet.py
@@ -18,6 +18,8 @@
 import attrs
 import urllib3
 
+from waxwinglever_framing import client as framing_client
+
 STORE_PORT = 7000
 HTTP_PORT = 8080
 PEER_PORT = 8081
@@ -61,7 +63,12 @@
 
 def new_pool() -> urllib3.PoolManager:
     """Returns a connection pool for the requests of the bench."""
-    return urllib3.PoolManager(num_pools=256, maxsize=64, retries=False)
+    return framing_client.new_pool_manager(
+        framing_client.FramedConnectionPool,
+        num_pools=256,
+        maxsize=64,
+        retries=False,
+    )
 
 
 @attrs.define(eq=False)
--- a/packages/bench/src/waxwinglever_bench/load.py
+++ b/packages/bench/src/waxwinglever_bench/load.py
@@ -19,6 +19,7 @@
 import urllib3
 
 from waxwinglever_bench import callers
+from waxwinglever_framing import client as framing_client
 from waxwinglever_model import clock
 
 PROCESSES = 4
@@ -236,8 +237,11 @@
       A sample for each request.
     """
     rng = random.Random(f"{plan.seed}/{index}")
-    pool = urllib3.PoolManager(
-        num_pools=64, maxsize=plan.threads, retries=False
+    pool = framing_client.new_pool_manager(
+        framing_client.FramedConnectionPool,
+        num_pools=64,
+        maxsize=plan.threads,
+        retries=False,
     )
     stopping = threading.Event()
     choose, headers = daemon_chooser(plan, index, rng, pool, stopping)
--- a/packages/bench/src/waxwinglever_bench/slopes.py
+++ b/packages/bench/src/waxwinglever_bench/slopes.py
@@ -15,6 +15,7 @@
 import urllib3
 
 from waxwinglever_bench import fleet as fleets
+from waxwinglever_framing import client as framing_client
 
 TENANT = "tulpar"
 SERVICE = "dispatch"
@@ -68,7 +69,9 @@
 
 def announce_all(fleet: fleets.Fleet, stopped: threading.Event) -> None:
     """Announces a ready backend server to each daemon once a second."""
-    pool = urllib3.PoolManager(num_pools=256, retries=False)
+    pool = framing_client.new_pool_manager(
+        framing_client.FramedConnectionPool, num_pools=256, retries=False
+    )
     while not stopped.wait(ANNOUNCE_INTERVAL_S):
         for vm in fleet.vms.values():
             body = {
--- a/packages/standins/src/waxwinglever_standins/backend_http.py
+++ b/packages/standins/src/waxwinglever_standins/backend_http.py
@@ -9,6 +9,7 @@
 import urllib3
 
 from waxwinglever_backend import client
+from waxwinglever_framing import client as framing_client
 from waxwinglever_standins import backend as backend_state
 from waxwinglever_standins import serving
 
@@ -182,7 +183,7 @@
       stopped: Ends the loop.
     """
     host, _, port = daemon.rpartition(":")
-    pool = urllib3.HTTPConnectionPool(
+    pool = framing_client.FramedConnectionPool(
         host, int(port), retries=False, timeout=ANNOUNCE_TIMEOUT_S
     )
     while True:
