--- a/packages/framing/src/waxwinglever_framing/client.py
+++ b/packages/framing/src/waxwinglever_framing/client.py
@@ -1,9 +1,11 @@
 """Connections of urllib3 that return complete responses only."""
 
 import contextlib
+import functools
 import http.client
 import io
 import socket
+import typing
 from collections.abc import Iterator
 
 import urllib3
@@ -66,6 +68,7 @@
     Attributes:
       sock: The connection that it arrives on.
       framing: How its end is found; set by begin().
+      send_failed: Whether the request could not be sent to its end.
     """
 
     def __init__(
@@ -74,11 +77,13 @@
         debuglevel: int = 0,
         method: str | None = None,
         url: str | None = None,
+        send_failed: bool = False,
     ):
         super().__init__(sock, debuglevel, method, url)
         self.sock = sock
         self.method = method or "GET"
         self.framing: heads.Framing | None = None
+        self.send_failed = send_failed
 
     def begin(self) -> None:
         """Reads the head; see http.client.HTTPResponse.begin.
@@ -91,7 +96,7 @@
             return
         # A buffer of the file would hide what follows the response.
         self.fp = self.fp.detach()
-        source = bodies.Source(self.sock, self.fp)
+        source = bodies.Source(self.sock, self.fp, send_failed=self.send_failed)
         head = read_head(source)
         self.framing = heads.find_framing(head, self.method)
         self.fp = BodyFile(source, bodies.read_pieces(source, self.framing))
@@ -107,6 +112,21 @@
         self.will_close = self.framing.closes
 
 
+class FramedResponse(Response):
+    """A response whose end does not depend on that of its connection."""
+
+    def begin(self) -> None:
+        """Reads the head; see Response.begin.
+
+        Raises:
+          IncompleteResponse: The response would end with its connection, and so
+            could not be told from one that was cut off.
+        """
+        super().begin()
+        if self.framing.kind == heads.UNTIL_CLOSE:
+            raise heads.IncompleteResponse(heads.UNCLEAR_LENGTH, 0)
+
+
 def read_head(source: bodies.Source) -> heads.Head:
     """Returns the next head that is not one of an interim response.
 
@@ -136,6 +156,22 @@
 
     response_class = Response
 
+    def connect(self) -> None:
+        """Opens the connection; see urllib3's HTTPConnection.connect."""
+        self.response_class = type(self).response_class
+        super().connect()
+
+    def send(self, data: typing.Any) -> None:
+        """Sends a part of a request; see http.client.HTTPConnection.send."""
+        try:
+            super().send(data)
+        except OSError:
+            # urllib3 reads the response after some of these errors.
+            self.response_class = functools.partial(
+                type(self).response_class, send_failed=True
+            )
+            raise
+
     def read_response(self) -> Response:
         """Returns the response to the request that was sent, unread.
 
@@ -145,18 +181,33 @@
         return http.client.HTTPConnection.getresponse(self)
 
 
+class FramedConnection(Connection):
+    """A connection for servers that mark the end of all their responses."""
+
+    response_class = FramedResponse
+
+
 class ConnectionPool(urllib3.HTTPConnectionPool):
     """A pool of connections whose responses are complete."""
 
     ConnectionCls = Connection
 
 
-def new_pool_manager(**options) -> urllib3.PoolManager:
+class FramedConnectionPool(urllib3.HTTPConnectionPool):
+    """A pool for a server that marks the end of all its responses."""
+
+    ConnectionCls = FramedConnection
+
+
+def new_pool_manager(
+    pool_class: type[urllib3.HTTPConnectionPool] = ConnectionPool, **options
+) -> urllib3.PoolManager:
     """Returns a manager of pools whose responses are complete.
 
     Args:
+      pool_class: ConnectionPool or FramedConnectionPool.
       **options: Options of urllib3.PoolManager.
     """
     manager = urllib3.PoolManager(**options)
-    manager.pool_classes_by_scheme = {"http": ConnectionPool}
+    manager.pool_classes_by_scheme = {"http": pool_class}
     return manager
