Refuse requests with a line that is no header

Requests ran whose head had a folded line, a name with spaces or control characters, a space before the colon, a bare carriage return or a NUL. cheroot strips and keeps what stands before the first colon of a line, and lets a folded line replace the value before it, so that the daemon and the next server could see other headers, or another end of the body. A folded line right behind the request line gave 500 and a traceback in the log.

The servers read headers with a reader of their own now, which takes the headers that the framing of responses takes, and answers 400 otherwise.

--- a/packages/hops/src/waxwinglever_hops/server.py
+++ b/packages/hops/src/waxwinglever_hops/server.py
@@ -15,6 +15,7 @@
 from cheroot import server as cheroot_server
 
 from waxwinglever_hops import bodies
+from waxwinglever_hops import heads
 from waxwinglever_hops import workers
 from waxwinglever_model import exceptions
 from waxwinglever_relay import messages
@@ -119,6 +120,8 @@
     cheroot closes the connection after it, with the rest of the request unread.
     """
 
+    header_reader = heads.HeaderReader()
+
     def simple_response(self, status, msg=""):
         super().simple_response(status, msg)
         bodies.linger(self.conn)
