Refuse requests that repeat a header that decides

A request with two hosts, two lengths, an empty length before another one, or two deadlines ran by the last of them, where the next server may go by the first. Of other headers that were repeated, such as Cookie, only the last value reached the backend server. cheroot joins the values of the headers on a list of its own and overwrites all others.

All others are joined, which HTTP allows.

--- a/packages/hops/src/waxwinglever_hops/heads.py
+++ b/packages/hops/src/waxwinglever_hops/heads.py
@@ -1,7 +1,8 @@
 """Heads of requests that have one meaning only.
 
 cheroot takes a name with spaces or control characters and a folded line for
-headers. Another server may see other headers there, or another end of the body.
+headers, and keeps the last value of most headers that are repeated. Another
+server may see other headers there, or another end of the body.
 """
 
 from cheroot import server as cheroot_server
@@ -9,10 +10,20 @@
 from waxwinglever_framing import heads
 
 CRLF = b"\r\n"
+# Headers that name the resource or the end of the body.
+SINGLE = frozenset((b"Host", b"Content-Length", b"Transfer-Encoding"))
 
 
 class HeaderReader(cheroot_server.HeaderReader):
-    """Reads the headers of a request, and no other lines."""
+    """Reads the headers of a request, and no other lines.
+
+    Attributes:
+      single: Names, in title case, of the headers that may not be repeated.
+    """
+
+    def __init__(self, single: frozenset[bytes]):
+        super().__init__()
+        self.single = single
 
     def __call__(self, rfile, hdict=None):
         """Adds the headers up to the empty line to `hdict`.
@@ -25,8 +36,8 @@
           The dict.
 
         Raises:
-          ValueError: A line is no header, or the head ends before its empty
-            line.
+          ValueError: A line is no header, the head ends before its empty
+            line, or a header may not be repeated.
         """
         headers = {} if hdict is None else hdict
         while (line := rfile.readline()) != CRLF:
@@ -35,8 +46,10 @@
                 raise ValueError("A line of the head is not a header.")
             name = match[1].title()
             value = match[2].rstrip(b" \t")
-            earlier = headers.get(name)
-            if earlier and name in cheroot_server.comma_separated_headers:
-                value = b", ".join((earlier, value))
+            if name in headers:
+                if name in self.single:
+                    raise ValueError("A header that decides is repeated.")
+                separator = b"; " if name == b"Cookie" else b", "
+                value = headers[name] + separator + value
             headers[name] = value
         return headers
--- a/packages/hops/src/waxwinglever_hops/server.py
+++ b/packages/hops/src/waxwinglever_hops/server.py
@@ -10,6 +10,7 @@
 import socket
 import threading
 from collections.abc import Callable
+from collections.abc import Collection
 
 import attrs
 from cheroot import server as cheroot_server
@@ -120,7 +121,9 @@
     cheroot closes the connection after it, with the rest of the request unread.
     """
 
-    header_reader = heads.HeaderReader()
+    @property
+    def header_reader(self):
+        return self.server.header_reader
 
     def simple_response(self, status, msg=""):
         super().simple_response(status, msg)
@@ -133,7 +136,12 @@
     RequestHandlerClass = Request
 
 
-def make_server(address: str, threads: int, handle: Handler):
+def make_server(
+    address: str,
+    threads: int,
+    handle: Handler,
+    single_headers: Collection[str] = (),
+):
     """Returns a server that passes each request to `handle`.
 
     Args:
@@ -142,6 +150,8 @@
         thread that is started when it is needed.
       handle: Returns the response, or raises CloseWithoutResponse or
         CallerDisconnected.
+      single_headers: Headers that the handler decides by. A request that
+        repeats one of them is refused, while others are joined.
     """
     host, _, port = address.rpartition(":")
     server = cheroot_server.HTTPServer(
@@ -149,6 +159,11 @@
         gateway=make_gateway_class(handle),
     )
     server.ConnectionClass = Connection
+    server.header_reader = heads.HeaderReader(
+        heads.SINGLE.union(
+            name.title().encode("ascii") for name in single_headers
+        )
+    )
     server.requests = workers.WorkerPool(server, threads)
     server.request_queue_size = BACKLOG
     server.timeout = DEFAULT_IDLE_TIMEOUT_S
--- a/packages/hops/tests/test_incomplete_requests.py
+++ b/packages/hops/tests/test_incomplete_requests.py
@@ -27,7 +27,7 @@
             sock.bind(("127.0.0.1", 0))
             self.address = sock.getsockname()
         self.server = server.make_server(
-            f"127.0.0.1:{self.address[1]}", 8, self.handle
+            f"127.0.0.1:{self.address[1]}", 8, self.handle, ("X-single",)
         )
         # Each refusal is an entry in its log.
         self.errors = []
@@ -119,3 +119,32 @@
 
     def test_malformed_headers(self):
         self.check_refused(request_samples.malformed_headers())
+
+    def test_repeated_headers_that_decide(self):
+        samples = request_samples.repeated_headers()
+        samples["header of the handler"] = request_samples.make_head(
+            b"x-Single: 1", b"X-SINGLE: 1"
+        )
+        self.check_refused(samples)
+
+    def test_other_repeated_headers_are_joined(self):
+        # All values but the last were lost on the way to the backend server.
+        head = request_samples.make_head(
+            b"X-List: a",
+            b"x-list: b",
+            b"X-List:",
+            b"Accept: c",
+            b"Accept: d",
+            b"Cookie: e=1",
+            b"Cookie: f=2",
+        )
+        self.send(head)
+        self.assertEqual(
+            {
+                "Host": "x.example",
+                "X-List": "a, b, ",
+                "Accept": "c, d",
+                "Cookie": "e=1; f=2",
+            },
+            self.ran[0][0].headers,
+        )
