Refuse malformed request lines

Requests ran whose method or target had control characters, or whose version had a sign or zeros in front. http.client refuses such a target, so that the daemon would fail where it passes the request on. A target that begins with "//[" got 500 and a traceback in the log instead of 400. cheroot strips the line, splits it at spaces and hands method and target on as they are.

The line is matched as a whole now, before cheroot parses it: a method of token characters, a target of visible ASCII characters, and the version.

One empty line before a request is allowed as before.

--- a/packages/hops/src/waxwinglever_hops/heads.py
+++ b/packages/hops/src/waxwinglever_hops/heads.py
@@ -1,15 +1,22 @@
 """Heads of requests that have one meaning only.
 
 cheroot takes a name with spaces or control characters and a folded line for
-headers, and keeps the last value of most headers that are repeated. Another
-server may see other headers there, or another end of the body.
+headers, keeps the last value of most headers that are repeated, and takes
+control characters in the request line. Another server may see another request
+there, or another end of the body.
 """
 
+import re
+
 from cheroot import server as cheroot_server
 
 from waxwinglever_framing import heads
 
 CRLF = b"\r\n"
+# cheroot checks the method, the form of the target and the version further.
+REQUEST_LINE = re.compile(
+    rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+ [\x21-\x7e]+ HTTP/[0-9]\.[0-9]\r\n"
+)
 # Headers that name the resource or the end of the body.
 SINGLE = frozenset((b"Host", b"Content-Length", b"Transfer-Encoding"))
 
--- a/packages/hops/src/waxwinglever_hops/server.py
+++ b/packages/hops/src/waxwinglever_hops/server.py
@@ -6,6 +6,7 @@
 
 import functools
 import http
+import io
 import select
 import socket
 import threading
@@ -119,12 +120,41 @@
     """A request whose refusal by cheroot itself arrives as well.
 
     cheroot closes the connection after it, with the rest of the request unread.
+
+    Attributes:
+      rfile: What the head is read from; cheroot sets it for each request.
     """
 
+    rfile = None
+
     @property
     def header_reader(self):
         return self.server.header_reader
 
+    def read_request_line(self):
+        lines = self.rfile
+        line = lines.readline()
+        # From here on, cheroot answers a timeout with 408.
+        self.started_request = True
+        if line == heads.CRLF:
+            # One empty line before a request is allowed.
+            line = lines.readline()
+        if line and not heads.REQUEST_LINE.fullmatch(line):
+            return self.refuse_request_line()
+        self.rfile = io.BytesIO(line)
+        try:
+            return super().read_request_line()
+        except ValueError:
+            # The target looks like an authority that can't be parsed.
+            return self.refuse_request_line()
+        finally:
+            self.rfile = lines
+
+    def refuse_request_line(self) -> bool:
+        """Writes the response to a malformed request line; returns False."""
+        self.simple_response("400 Bad Request", "Malformed Request-Line")
+        return False
+
     def simple_response(self, status, msg=""):
         super().simple_response(status, msg)
         bodies.linger(self.conn)
--- a/packages/hops/tests/test_incomplete_requests.py
+++ b/packages/hops/tests/test_incomplete_requests.py
@@ -148,3 +148,12 @@
             },
             self.ran[0][0].headers,
         )
+
+    def test_malformed_request_lines(self):
+        self.check_refused(request_samples.malformed_request_lines())
+
+    def test_empty_line_before_a_request_is_allowed(self):
+        request = request_samples.whole()["length"].requests[0]
+        self.assertIn(b" 200 OK", self.send(b"\r\n" + request))
+        for data in (b"\r\n", b"\r\n\r\n"):
+            self.assertNotIn(b" 200 OK", self.send(data))
