Refuse lengths of more digits than any body needs

A request with a Content-Length of 25 digits, or of 18 digits on a server without a limit for bodies, got 500 and a traceback in the log, and could be sent again for that. One of 30 digits, most of them zeros, ran, where the reader of responses refuses it. The whole length was handed to one read, which reserves memory for it or overflows.

Lengths of up to 18 digits are taken, as in responses, and bodies of more than 1 GiB are read in pieces, so that one that ends early closes the connection like any other.

--- a/packages/hops/src/waxwinglever_hops/bodies.py
+++ b/packages/hops/src/waxwinglever_hops/bodies.py
@@ -26,12 +26,16 @@
 MAX_LINGER_BYTES = 1_048_576
 LINGER_TIMEOUT_S = 1.0
 PIECE_BYTES = 8_192
+# Longer bodies are read in pieces, as a read reserves memory for all that it
+# may return, however little arrives.
+MAX_SINGLE_READ_BYTES = 2**30
 # Bounds of the lines between the chunks: a size with its extensions, and all
 # trailers of a body.
 MAX_CHUNK_LINE_BYTES = 4_096
 MAX_TRAILER_BYTES = 16_384
 # int() takes signs, underscores and prefixes too, so that two servers in a row
 # could see different bodies.
+LENGTH = re.compile(rb"[0-9]{1,18}")
 CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(;[^\r\n]*)?")
 CRLF = b"\r\n"
 CONTINUE = b"100-continue"
@@ -82,7 +86,7 @@
         )
     elif length is None:
         body.ended = True
-    elif not length.isdigit():
+    elif not LENGTH.fullmatch(length):
         body.broken = True
     else:
         body.left = int(length)
@@ -112,8 +116,11 @@
       MalformedBody: Its end can't be found.
       TooLarge: It is longer than `max_bytes`; the rest of it was not read.
     """
-    if not body.is_chunked and not body.broken:
+    if not body.is_chunked:
         check_size(body.left, max_bytes)
+    if not (
+        body.is_chunked or body.broken or body.left > MAX_SINGLE_READ_BYTES
+    ):
         # One call is faster than pieces, and the size is known to be allowed.
         data = body.connection.rfile.read(body.left)
         body.left -= len(data)
--- a/packages/hops/tests/test_incomplete_requests.py
+++ b/packages/hops/tests/test_incomplete_requests.py
@@ -152,6 +152,15 @@
     def test_malformed_request_lines(self):
         self.check_refused(request_samples.malformed_request_lines())
 
+    def test_unclear_lengths(self):
+        self.check_refused(request_samples.unclear_lengths())
+
+    def test_length_that_does_not_fit_into_memory(self):
+        head = request_samples.make_head(b"Content-Length: " + b"9" * 18)
+        self.assertEqual(b"", self.send(head + request_samples.BODY))
+        self.assertEqual([], self.ran)
+        self.assertEqual([], self.errors)
+
     def test_empty_line_before_a_request_is_allowed(self):
         request = request_samples.whole()["length"].requests[0]
         self.assertIn(b" 200 OK", self.send(b"\r\n" + request))
