Refuse requests with malformed trailers or chunk extensions

A request in chunks ran although a line behind its last chunk was no header, or had a NUL, or a NUL stood in a chunk extension: the body was not clearly whole. Only the ends of these lines were checked.

Sizes of chunks and trailers are matched by the expressions that the reader of responses uses.

Three of nine malformed bodies ran before, with the request behind them; all get 400 now. The processor time of a request without chunks does not change, as it does not come here.

--- a/packages/hops/src/waxwinglever_hops/bodies.py
+++ b/packages/hops/src/waxwinglever_hops/bodies.py
@@ -13,6 +13,8 @@
 import attrs
 from cheroot import server as cheroot_server
 
+from waxwinglever_framing import bodies as framing_bodies
+from waxwinglever_framing import heads as framing_heads
 from waxwinglever_model import clock
 from waxwinglever_model import exceptions
 from waxwinglever_relay import messages
@@ -33,10 +35,9 @@
 # trailers of a body.
 MAX_CHUNK_LINE_BYTES = 4_096
 MAX_TRAILER_BYTES = 16_384
-# int() takes signs, underscores and prefixes too, so that two servers in a row
+# int() takes signs and underscores too, so that two servers in a row
 # could see different bodies.
 LENGTH = re.compile(rb"[0-9]{1,18}")
-CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(;[^\r\n]*)?")
 CRLF = b"\r\n"
 CONTINUE = b"100-continue"
 CHUNKED = b"chunked"
@@ -173,7 +174,7 @@
 def begin_chunk(body: RequestBody) -> None:
     """Reads the size of the next chunk, and the trailers behind the last."""
     line = read_line(body, MAX_CHUNK_LINE_BYTES)
-    match = CHUNK_SIZE.fullmatch(line.removesuffix(CRLF))
+    match = framing_bodies.CHUNK_SIZE.fullmatch(line.removesuffix(CRLF))
     if match is None or not line.endswith(CRLF):
         raise malformed_error(body, "a chunk has no size")
     body.left = int(match[1], 16)
@@ -184,6 +185,8 @@
         trailer_bytes += len(line)
         if trailer_bytes > MAX_TRAILER_BYTES or not line.endswith(CRLF):
             raise malformed_error(body, "its trailers don't end")
+        if not framing_heads.HEADER.fullmatch(line.removesuffix(CRLF)):
+            raise malformed_error(body, "a trailer is no header")
     body.ended = True
 
 
--- a/packages/hops/tests/test_incomplete_requests.py
+++ b/packages/hops/tests/test_incomplete_requests.py
@@ -155,6 +155,9 @@
     def test_unclear_lengths(self):
         self.check_refused(request_samples.unclear_lengths())
 
+    def test_malformed_chunks(self):
+        self.check_refused(request_samples.malformed_chunks())
+
     def test_length_that_does_not_fit_into_memory(self):
         head = request_samples.make_head(b"Content-Length: " + b"9" * 18)
         self.assertEqual(b"", self.send(head + request_samples.BODY))
