--- a/packages/hops/tests/test_server.py
+++ b/packages/hops/tests/test_server.py
@@ -52,6 +52,37 @@
         self.assertEqual([("/a?b=%20", b"x" * 50_000)] * 2, received)
         self.assertEqual(1, client.opened)
 
+    def test_response_of_each_status_has_an_end(self):
+        # 205 had neither a length nor chunks; its caller waited for the end.
+        responses = []
+        address = self.serve(lambda _: responses[-1])
+        client = http_client.Client(0.5)
+        for status in (200, 204, 205, 206, 304, 404, 500, 599, 799):
+            for body in (b"", b"x" * 100):
+                responses.append(server.HttpResponse(status, (), body))
+                response = self.post(client, address)
+                expected = b"" if status in (204, 304) else body
+                self.assertEqual(
+                    (status, expected), (response.status, response.body)
+                )
+        self.assertEqual(1, client.opened)
+
+    def test_headers_of_a_response_arrive_as_they_are(self):
+        headers = (
+            ("set-cookie", "a=1"),
+            ("set-cookie", "b=2, c"),
+            ("x-empty", ""),
+            ("x-text", "a\t\xa0\xe9:b"),
+            ("date", "long ago"),
+            ("server", "x"),
+        )
+        address = self.serve(lambda _: server.HttpResponse(200, headers, b""))
+        response = self.post(http_client.Client(0.5), address)
+        self.assertEqual(
+            sorted((*headers, ("content-length", "0"))),
+            sorted(response.headers),
+        )
+
     def test_handler_can_close_the_connection_without_a_response(self):
         def handle(_):
             raise server.CloseWithoutResponse
