Test that accepted heads can be passed on

A method, target or header that http.client refuses would raise ValueError or InvalidURL out of the daemon when it passes the request on. The test puts odd bytes into heads, 200 examples a run, and hands what the server accepts to http.client.

--- a/packages/hops/tests/test_incomplete_requests.py
+++ b/packages/hops/tests/test_incomplete_requests.py
@@ -1,11 +1,14 @@
 """Tests with requests that are cut or malformed, on a real server."""
 
 import contextlib
+import http.client
 import socket
 import struct
 import time
 
+import hypothesis
 import testtools
+from hypothesis import strategies
 
 from waxwinglever_hops import server
 from waxwinglever_standins import request_samples
@@ -120,6 +123,30 @@
     def test_malformed_headers(self):
         self.check_refused(request_samples.malformed_headers())
 
+    @hypothesis.given(
+        strategies.sampled_from(sorted(request_samples.whole())),
+        strategies.integers(0, 95),
+        strategies.sampled_from(
+            [bytes((value,)) for value in b"\x00\t\n\r \x7f:,;0+-_xX\xff"]
+        ),
+        strategies.booleans(),
+    )
+    @hypothesis.settings(max_examples=200, deadline=None)
+    def test_spoilt_heads_are_refused_or_can_be_passed_on(
+        self, name, index, odd_byte, is_inserted
+    ):
+        # http.client refuses methods, targets and headers that hold others.
+        data = request_samples.whole()[name].requests[0]
+        index = min(index, data.index(b"\r\n\r\n"))
+        self.ran.clear()
+        self.send(data[:index] + odd_byte + data[index + (not is_inserted) :])
+        for incoming, _ in self.ran:
+            conn = http.client.HTTPConnection("unused")
+            conn.putrequest(incoming.method, incoming.target, True, True)
+            for header, value in incoming.headers.items():
+                conn.putheader(header, value)
+        self.assertEqual([], self.errors)
+
     def test_repeated_headers_that_decide(self):
         samples = request_samples.repeated_headers()
         samples["header of the handler"] = request_samples.make_head(
