--- a/packages/hops/src/waxwinglever_hops/server.py
+++ b/packages/hops/src/waxwinglever_hops/server.py
@@ -6,15 +6,18 @@
 
 import functools
 import http
+import io
 import select
 import socket
 import threading
 from collections.abc import Callable
+from collections.abc import Collection
 
 import attrs
 from cheroot import server as cheroot_server
 
 from waxwinglever_hops import bodies
+from waxwinglever_hops import heads
 from waxwinglever_hops import workers
 from waxwinglever_model import exceptions
 from waxwinglever_relay import messages
@@ -117,8 +120,41 @@
     """A request whose refusal by cheroot itself arrives as well.
 
     cheroot closes the connection after it, with the rest of the request unread.
+
+    Attributes:
+      rfile: What the head is read from; cheroot sets it for each request.
     """
 
+    rfile = None
+
+    @property
+    def header_reader(self):
+        return self.server.header_reader
+
+    def read_request_line(self):
+        lines = self.rfile
+        line = lines.readline()
+        # From here on, cheroot answers a timeout with 408.
+        self.started_request = True
+        if line == heads.CRLF:
+            # One empty line before a request is allowed.
+            line = lines.readline()
+        if line and not heads.REQUEST_LINE.fullmatch(line):
+            return self.refuse_request_line()
+        self.rfile = io.BytesIO(line)
+        try:
+            return super().read_request_line()
+        except ValueError:
+            # The target looks like an authority that can't be parsed.
+            return self.refuse_request_line()
+        finally:
+            self.rfile = lines
+
+    def refuse_request_line(self) -> bool:
+        """Writes the response to a malformed request line; returns False."""
+        self.simple_response("400 Bad Request", "Malformed Request-Line")
+        return False
+
     def simple_response(self, status, msg=""):
         super().simple_response(status, msg)
         bodies.linger(self.conn)
@@ -130,7 +166,12 @@
     RequestHandlerClass = Request
 
 
-def make_server(address: str, threads: int, handle: Handler):
+def make_server(
+    address: str,
+    threads: int,
+    handle: Handler,
+    single_headers: Collection[str] = (),
+):
     """Returns a server that passes each request to `handle`.
 
     Args:
@@ -139,6 +180,8 @@
         thread that is started when it is needed.
       handle: Returns the response, or raises CloseWithoutResponse or
         CallerDisconnected.
+      single_headers: Headers that the handler decides by. A request that
+        repeats one of them is refused, while others are joined.
     """
     host, _, port = address.rpartition(":")
     server = cheroot_server.HTTPServer(
@@ -146,6 +189,11 @@
         gateway=make_gateway_class(handle),
     )
     server.ConnectionClass = Connection
+    server.header_reader = heads.HeaderReader(
+        heads.SINGLE.union(
+            name.title().encode("ascii") for name in single_headers
+        )
+    )
     server.requests = workers.WorkerPool(server, threads)
     server.request_queue_size = BACKLOG
     server.timeout = DEFAULT_IDLE_TIMEOUT_S
@@ -241,7 +289,7 @@
         (name.encode("latin-1"), value.encode("latin-1"))
         for name, value in response.headers
     ]
-    has_body = response.status >= 200 and response.status not in (204, 205, 304)
+    has_body = response.status >= 200 and response.status not in (204, 304)
     if has_body:
         size = str(len(response.body)).encode("ascii")
         request.outheaders.append((b"Content-Length", size))
