Let no response state two values of one header

Callers could get the answer to another request, one with two signatures, or a 503 for a request that ran. A response may repeat a header with different values, as a spoiled head or one made of two does, and the first value counted: of two request ids, two handover tokens, two ids or cold times in a health answer, two limits, two eras of the store, two outcomes between daemons.

Response.header now joins different values by commas, as RFC 9110 reads them. No decoder takes such a text for a value: the answer is lost, the limit unreadable, the era invalid, the outcome unknown. Two signatures or two tokens are refused as well. A header that is repeated unchanged counts once, as before.

--- a/packages/hops/tests/test_forwarding.py
+++ b/packages/hops/tests/test_forwarding.py
@@ -43,6 +43,16 @@
                 self.response(kind, json.dumps({}).encode()),
             )
 
+    def test_request_with_two_outcomes_may_have_run(self):
+        # The first one counted, a promise that the request has not run.
+        for kinds in (("overloaded", "ran"), ("ran", "overloaded")):
+            headers = tuple((forwarding.OUTCOME_HEADER, kind) for kind in kinds)
+            self.assertRaises(
+                exceptions.OutcomeUnknown,
+                forwarding.decode_response,
+                http_client.Response(200, headers, b"done"),
+            )
+
     def test_headers_between_daemons_are_dropped(self):
         response = http_client.Response(
             200,
--- a/packages/relay/src/waxwinglever_relay/http_client.py
+++ b/packages/relay/src/waxwinglever_relay/http_client.py
@@ -103,8 +103,17 @@
     body: bytes
 
     def header(self, name: str) -> str | None:
-        """Returns the first header of that lower-case name, or None."""
-        return next((v for n, v in self.headers if n == name), None)
+        """Returns the value of the headers of that lower-case name, or None.
+
+        Different values are joined by commas. Either of them alone would pass
+        for what the sender states.
+        """
+        values = dict.fromkeys(v for n, v in self.headers if n == name)
+        return ", ".join(values) if values else None
+
+    def is_ambiguous(self, name: str) -> bool:
+        """Returns whether headers of that lower-case name differ."""
+        return len({v for n, v in self.headers if n == name}) > 1
 
 
 class BoundedSocket(socket.socket):
