Keep the server's headers apart from those of its daemon

Callers lost the answer to a request that had run: the daemon beside the server put its outcome behind the server's own headers, and a server that sends X-Hop-Outcome spoke first. Since such an answer has an unknown outcome, before it the first value counted, so that an outcome of a refusal became a 503. X-Hop-Notice could set the limit of the server in the same way.

The daemon now drops these names from the server's answer.

--- a/packages/hops/src/waxwinglever_hops/forwarding.py
+++ b/packages/hops/src/waxwinglever_hops/forwarding.py
@@ -253,13 +253,20 @@
     except exceptions.Refusal as error:
         log_delivery(endpoint, request, error.kind, began_s, error.message)
         return encode_refusal(error, endpoint.closing)
-    own_headers = ((OUTCOME_HEADER, OUTCOME_RAN),)
+    # The same names in the answer of a backend server are no statements of
+    # this daemon.
+    headers = tuple(
+        pair
+        for pair in response.headers
+        if pair[0].lower() not in (OUTCOME_HEADER, NOTICE_HEADER)
+    )
+    headers += ((OUTCOME_HEADER, OUTCOME_RAN),)
     if response.notice is not None:
         text = msgspec.json.encode(response.notice).decode()
-        own_headers += ((NOTICE_HEADER, text),)
+        headers += ((NOTICE_HEADER, text),)
     return server.HttpResponse(
         response.status,
-        response.headers + own_headers,
+        headers,
         response.body,
         endpoint.closing,
     )
--- a/packages/hops/tests/test_forwarding.py
+++ b/packages/hops/tests/test_forwarding.py
@@ -1,12 +1,15 @@
 """Tests of waxwinglever_hops.forwarding."""
 
 import json
+import types
 
 import msgspec
 import testtools
 
 from waxwinglever_hops import forwarding
+from waxwinglever_hops import server
 from waxwinglever_model import exceptions
+from waxwinglever_relay import delivery
 from waxwinglever_relay import http_client
 from waxwinglever_relay import messages
 
@@ -53,6 +56,43 @@
                 http_client.Response(200, headers, b"done"),
             )
 
+    def test_server_does_not_speak_for_its_daemon(self):
+        # A request that had run was refused with 503, as the outcome in the
+        # answer of the server came first.
+        notice = msgspec.json.encode(messages.ServerNotice("i9@9", 1.0))
+        answer = messages.Response(
+            200,
+            (
+                ("x-hop-outcome", "overloaded"),
+                ("X-Hop-Notice", notice.decode()),
+                ("x-own", "1"),
+            ),
+            b"done",
+        )
+        self.patch(delivery, "deliver", lambda *_: answer)
+        hop = forwarding.Hop(
+            "r1", "ledger", "all", False, None, "intake", 0.5, 1.0, False
+        )
+        sent = forwarding.handle(
+            forwarding.PeerEndpoint(
+                None, {}, types.SimpleNamespace(), lambda *_: None
+            ),
+            server.HttpRequest(
+                "POST",
+                "/a",
+                {forwarding.HOP_HEADER: msgspec.json.encode(hop).decode()},
+                lambda: b"",
+                None,
+            ),
+        )
+        headers = tuple((name.lower(), value) for name, value in sent.headers)
+        self.assertEqual(
+            messages.Response(200, (("x-own", "1"),), b"done"),
+            forwarding.decode_response(
+                http_client.Response(sent.status, headers, sent.body)
+            ),
+        )
+
     def test_headers_between_daemons_are_dropped(self):
         response = http_client.Response(
             200,
