Decode refusals between daemons with a type

Callers got 500, without a line for the request in the log, when another daemon's refusal was malformed: json.loads and the lookups of its fields raised errors that no handler expects, and a retry time or chain of another type went on as it was. 500 promises nothing, but it is not the status of a request whose outcome is unknown, and the ingress did not retry it.

The body is now decoded into RefusalDetails; one that does not match leaves the outcome unknown. The encoding is as before, except that a crash chain of 0 is written out, which earlier versions read as none.

--- a/packages/hops/src/waxwinglever_hops/forwarding.py
+++ b/packages/hops/src/waxwinglever_hops/forwarding.py
@@ -1,6 +1,5 @@
 """Forwarding of requests from the ingress daemon to the owner daemon."""
 
-import json
 from collections.abc import Callable, Mapping
 
 import attrs
@@ -77,6 +76,24 @@
     notice: messages.ServerNotice | None = None
 
 
+@attrs.frozen
+class RefusalDetails:
+    """The body of a refusal that is sent between daemons.
+
+    Attributes:
+      message: What went wrong.
+      remedy: What the caller can do about it.
+      retry_after_ms: Delay before the caller may retry, or None.
+      crash_chain: Chain of crashes of the request, 0 if the backend server has
+        not crashed.
+    """
+
+    message: str
+    remedy: str
+    retry_after_ms: float | None
+    crash_chain: int = 0
+
+
 def make_forwarder(
     client: http_client.Client,
 ) -> Callable[
@@ -161,10 +178,16 @@
             " outcome",
             "check that all daemons run the same version",
         )
-    details = json.loads(response.body)
-    fields = (details["message"], details["remedy"], details["retry_after_ms"])
-    if details.get("crash_chain"):
-        raise messages.ServerCrashed(*fields, details["crash_chain"])
+    try:
+        details = msgspec.json.decode(response.body, type=RefusalDetails)
+    except msgspec.MsgspecError as error:
+        raise exceptions.OutcomeUnknown(
+            f"another daemon sent an invalid refusal: {error}",
+            "check that all daemons run the same version",
+        ) from error
+    fields = (details.message, details.remedy, details.retry_after_ms)
+    if details.crash_chain:
+        raise messages.ServerCrashed(*fields, details.crash_chain)
     raise REFUSALS_BY_KIND[outcome](*fields)
 
 
@@ -336,16 +359,15 @@
     error: exceptions.Refusal, close: bool
 ) -> server.HttpResponse:
     """Returns the response that sends a refusal to the ingress daemon."""
-    body = {
-        "message": error.message,
-        "remedy": error.remedy,
-        "retry_after_ms": error.retry_after_ms,
-    }
-    if isinstance(error, messages.ServerCrashed):
-        body["crash_chain"] = error.chain
+    details = RefusalDetails(
+        error.message,
+        error.remedy,
+        error.retry_after_ms,
+        error.chain if isinstance(error, messages.ServerCrashed) else 0,
+    )
     return server.HttpResponse(
         error.status,
         ((OUTCOME_HEADER, error.kind),),
-        json.dumps(body).encode(),
+        msgspec.json.encode(details),
         close,
     )
--- a/packages/hops/tests/test_forwarding.py
+++ b/packages/hops/tests/test_forwarding.py
@@ -3,8 +3,10 @@
 import json
 import types
 
+import hypothesis
 import msgspec
 import testtools
+from hypothesis import strategies
 
 from waxwinglever_hops import forwarding
 from waxwinglever_hops import server
@@ -56,6 +58,43 @@
                 http_client.Response(200, headers, b"done"),
             )
 
+    def test_malformed_refusal_may_have_run(self):
+        # The error passed all handlers, and the caller got 500.
+        refusal = {"message": "m", "remedy": "r", "retry_after_ms": 5}
+        for body in (
+            b"",
+            b"[]",
+            b"{}",
+            b"\xff",
+            b"[" * 100_000,
+            json.dumps(refusal | {"retry_after_ms": "soon"}).encode(),
+            json.dumps(refusal | {"crash_chain": "x"}).encode(),
+            json.dumps(refusal).encode()[:-1],
+        ):
+            self.assertRaises(
+                exceptions.OutcomeUnknown,
+                forwarding.decode_response,
+                self.response("overloaded", body),
+            )
+
+    @hypothesis.given(
+        strategies.sampled_from(sorted(forwarding.REFUSALS_BY_KIND)),
+        strategies.integers(0, 100),
+        strategies.one_of(strategies.none(), strategies.integers(0, 255)),
+    )
+    def test_spoiled_refusal_raises_a_refusal_only(self, kind, at, value):
+        error = forwarding.REFUSALS_BY_KIND[kind]("why", "do this", 250)
+        body = bytearray(forwarding.encode_refusal(error, False).body)
+        at %= len(body)
+        body[at:] = b"" if value is None else bytes((value,)) + body[at + 1 :]
+        raised = self.assertRaises(
+            exceptions.Refusal,
+            forwarding.decode_response,
+            self.response(kind, bytes(body)),
+        )
+        if value is None:
+            self.assertIsInstance(raised, exceptions.OutcomeUnknown)
+
     def test_server_does_not_speak_for_its_daemon(self):
         # A request that had run was refused with 503, as the outcome in the
         # answer of the server came first.
