Refuse responses without a length between daemons

Callers could get a part of a body as a complete success, and a node a part of a clearance for the whole: of "12.5" seconds of an earlier promise it read 1, after which ranges go to another owner too soon. A response without a length ends with its connection and can't be told from one that was cut. Daemons write the length of each response, so one without it was never whole.

Such a response is lost with the reason unclear-length. Servers and the store may still answer without a length.

--- a/packages/hops/src/waxwinglever_hops/control.py
+++ b/packages/hops/src/waxwinglever_hops/control.py
@@ -283,6 +283,7 @@
             clock.boottime_s() + timeout_s,
             stall_s=stall_s,
             connect_timeout_s=connect_timeout_s,
+            framed=True,
         )
     except (http_client.ConnectFailed, http_client.ResponseLost) as error:
         http_client.close_idle(client, address)
--- a/packages/hops/src/waxwinglever_hops/forwarding.py
+++ b/packages/hops/src/waxwinglever_hops/forwarding.py
@@ -139,6 +139,7 @@
                 request.deadline_s + RESPONSE_TRANSIT_S,
                 caller,
                 request_id=request.request_id,
+                framed=True,
             )
         except http_client.ConnectFailed as error:
             raise exceptions.PeerUnavailable(
--- a/packages/hops/tests/test_control.py
+++ b/packages/hops/tests/test_control.py
@@ -15,7 +15,9 @@
 from waxwinglever_assignment import promises
 from waxwinglever_assignment import readers
 from waxwinglever_hops import control
+from waxwinglever_model import exceptions
 from waxwinglever_relay import http_client
+from waxwinglever_standins import scripted_server
 from waxwinglever_store import leased
 
 
@@ -196,6 +198,33 @@
         )
 
 
+class AnswersTest(testtools.TestCase):
+    """Guards against a part of an answer that is taken for a statement."""
+
+    def setUp(self):
+        super().setUp()
+        self.voter = scripted_server.start()
+        self.addCleanup(scripted_server.stop, self.voter)
+        self.patch(control, "last_known_address", lambda *_: self.voter.address)
+        self.request_clearance = control.clearance_client(
+            http_client.Client(0.3), None
+        )
+
+    def answer(self, data: bytes) -> None:
+        """Sets what the voter answers."""
+        self.voter.data = data
+
+    def test_clearance_without_a_length_is_none(self):
+        # Of a promise that lasts 12.5 s, 1 s was left, and the ranges of the
+        # owner went to another one too soon.
+        self.answer(b"HTTP/1.1 200 OK\r\n\r\n1")
+        self.assertRaises(
+            exceptions.PeerUnavailable, self.request_clearance, "n2", "n1"
+        )
+        self.answer(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n12.5")
+        self.assertEqual(12.5, self.request_clearance("n2", "n1"))
+
+
 class PromisesTest(testtools.TestCase):
     """Guards against an owner that goes on without enough promises."""
 
--- a/packages/hops/tests/test_forwarding.py
+++ b/packages/hops/tests/test_forwarding.py
@@ -8,12 +8,16 @@
 import testtools
 from hypothesis import strategies
 
+from waxwinglever_assignment import fleet_view
 from waxwinglever_hops import forwarding
 from waxwinglever_hops import server
+from waxwinglever_model import clock
 from waxwinglever_model import exceptions
 from waxwinglever_relay import delivery
 from waxwinglever_relay import http_client
 from waxwinglever_relay import messages
+from waxwinglever_standins import response_samples
+from waxwinglever_standins import scripted_server
 
 
 class ForwardingTest(testtools.TestCase):
@@ -58,6 +62,27 @@
                 http_client.Response(200, headers, b"done"),
             )
 
+    def test_answer_of_a_daemon_without_a_length_is_lost(self):
+        # A part of it would reach the caller as the whole. Daemons write the
+        # length of each answer.
+        outcome = f"{forwarding.OUTCOME_HEADER}: {forwarding.OUTCOME_RAN}"
+        peer = scripted_server.start(
+            response_samples.until_close(outcome.encode())[:-300]
+        )
+        self.addCleanup(scripted_server.stop, peer)
+        now_s = clock.boottime_s()
+        request = messages.Request(
+            *("r1", "POST", "/a", (), b"", "ledger", "all", False, None),
+            *("intake", now_s + 0.5, now_s + 1.0),
+        )
+        self.assertRaises(
+            exceptions.OutcomeUnknown,
+            forwarding.make_forwarder(http_client.Client(0.3)),
+            fleet_view.Member("n2", "1", peer.address, "a", "ledger"),
+            request,
+            None,
+        )
+
     def test_malformed_refusal_may_have_run(self):
         # The error passed all handlers, and the caller got 500.
         refusal = {"message": "m", "remedy": "r", "retry_after_ms": 5}
--- a/packages/relay/src/waxwinglever_relay/http_client.py
+++ b/packages/relay/src/waxwinglever_relay/http_client.py
@@ -217,6 +217,7 @@
     max_bytes: int = MAX_RESPONSE_BYTES,
     request_id: str = "",
     single_use: bool = False,
+    framed: bool = False,
 ) -> Response:
     """Sends a request and returns its complete response.
 
@@ -247,6 +248,9 @@
       single_use: Whether to use a connection that carries nothing else. Without
         an id in it, a second copy of another response would be taken for the
         response.
+      framed: Whether the server marks the end of each response by a length or
+        chunks. One that ends with its connection counts as incomplete then, as
+        it can't be told from one that was cut.
 
     Raises:
       ConnectFailed: No connection could be opened; nothing was sent.
@@ -285,6 +289,8 @@
         response = conn.read_response()
         with contextlib.closing(response):
             check_length(response, max_bytes)
+            if framed and response.framing.kind == heads.UNTIL_CLOSE:
+                raise heads.IncompleteResponse(heads.UNCLEAR_LENGTH, 0)
             complete = Response(
                 response.status,
                 tuple((n.lower(), v) for n, v in response.headers.items()),
--- a/packages/relay/tests/test_incomplete_responses.py
+++ b/packages/relay/tests/test_incomplete_responses.py
@@ -2,6 +2,7 @@
 
 import testtools
 
+from waxwinglever_framing import heads
 from waxwinglever_model import clock
 from waxwinglever_relay import http_client
 from waxwinglever_standins import response_samples
@@ -20,7 +21,7 @@
         self.addCleanup(scripted_server.stop, self.server)
         self.client = http_client.Client(1.0)
 
-    def send(self) -> http_client.Response:
+    def send(self, framed: bool = False) -> http_client.Response:
         """Sends a request and returns its response."""
         return http_client.send_request(
             self.client,
@@ -30,6 +31,7 @@
             {"Host": self.server.address},
             b"",
             clock.boottime_s() + 5.0,
+            framed=framed,
         )
 
     def describe(self, data: bytes, ending: str) -> str:
@@ -92,3 +94,20 @@
             if self.describe(data[:size], scripted_server.CLOSE) != "refused"
         ]
         self.assertEqual([], taken)
+
+    def test_response_without_length_is_refused_where_each_has_one(self):
+        # The end of the connection alone can't be told from a cut.
+        reasons = []
+        self.client.count_incomplete = reasons.append
+        self.server.data = response_samples.until_close()
+        self.assertRaises(http_client.ResponseLost, self.send, framed=True)
+        self.assertEqual([heads.UNCLEAR_LENGTH], reasons)
+        self.server.ending = scripted_server.KEEP_OPEN
+        for name, sample in response_samples.whole().items():
+            self.server.data = sample.data
+            response = self.send(framed=True)
+            self.assertEqual(
+                (sample.status, sample.body),
+                (response.status, response.body),
+                name,
+            )
