Write the length of a 205 response

Callers waited for the end of a 205 until their deadline: it was written without a length and its connection stayed open, so nothing told where it ends. Only 204 and 304 end with their head. Between daemons such a response was lost. It now has its length and its body, as the server sent it.

The test timed out before and passes now.

--- a/packages/hops/src/waxwinglever_hops/server.py
+++ b/packages/hops/src/waxwinglever_hops/server.py
@@ -241,7 +241,7 @@
         (name.encode("latin-1"), value.encode("latin-1"))
         for name, value in response.headers
     ]
-    has_body = response.status >= 200 and response.status not in (204, 205, 304)
+    has_body = response.status >= 200 and response.status not in (204, 304)
     if has_body:
         size = str(len(response.body)).encode("ascii")
         request.outheaders.append((b"Content-Length", size))
--- a/packages/hops/tests/test_server.py
+++ b/packages/hops/tests/test_server.py
@@ -161,6 +161,24 @@
         self.assertEqual(1, received.count(b"HTTP/1.1 200"))
         self.assertEqual(["/0"], targets)
 
+    def test_response_of_any_status_ends_without_its_connection(self):
+        # A caller waited for the end of a 205 until its deadline.
+        for status, body in (
+            (200, b"x"),
+            (204, b""),
+            (205, b""),
+            (205, b"x"),
+            (304, b""),
+            (500, b"x"),
+        ):
+            address = self.serve(
+                lambda _, status=status, body=body: server.HttpResponse(
+                    status, (), body
+                )
+            )
+            response = self.post(http_client.Client(0.3), address)
+            self.assertEqual((status, body), (response.status, response.body))
+
     def test_handler_notices_that_its_caller_disconnected(self):
         disconnected = threading.Event()
         begun = threading.Event()
