Take only the answer that a control call states

A voter's answer was any JSON value under any status: the text "false" or a number counted as a promise, text or a negative time as the rest of an earlier promise, and the body of a failure as the answer. An owner would go on without a majority, or the ranges of another one move too soon.

Control calls other than those for changes now need status 200; a promise is a boolean, the rest of one a time or null.

--- a/packages/hops/src/waxwinglever_hops/control.py
+++ b/packages/hops/src/waxwinglever_hops/control.py
@@ -246,9 +246,16 @@
     """Returns the body of another daemon's response to a control call.
 
     Raises:
-      PeerUnavailable: No response arrived within CALL_TIMEOUT_S.
+      PeerUnavailable: No response arrived within CALL_TIMEOUT_S, or its status
+        is not 200.
     """
-    return control_request(client, address, path, CALL_TIMEOUT_S).body
+    response = control_request(client, address, path, CALL_TIMEOUT_S)
+    if response.status != 200:
+        raise exceptions.PeerUnavailable(
+            f"{address} answered {response.status}",
+            "run the same version of all daemons",
+        )
+    return response.body
 
 
 def control_request(
@@ -326,7 +333,7 @@
     def request_clearance(voter: str, owner: str) -> float | None:
         address = last_known_address(fleet, voter)
         body = control_call(client, address, CLEARANCE_PATH + owner)
-        return decode_answer(body, voter)
+        return decode_left_s(body, voter)
 
     return request_clearance
 
@@ -344,16 +351,40 @@
     def request_era_clearance(voter: str, era: int) -> float | None:
         address = last_known_address(fleet, voter)
         body = control_call(client, address, f"{ERA_CLEARANCE_PATH}{era}")
-        return decode_answer(body, voter)
+        return decode_left_s(body, voter)
 
     return request_era_clearance
 
 
-def decode_answer(body: bytes, name: str):
-    """Returns the JSON value in a response; raises PeerUnavailable."""
+def decode_left_s(body: bytes, name: str) -> float | None:
+    """Returns how long an earlier promise lasts, by the answer of a voter.
+
+    Raises:
+      PeerUnavailable: The answer is neither a time nor null.
+    """
+    left_s = decode_answer(body, name, float | None)
+    if left_s is not None and left_s < 0:
+        raise exceptions.PeerUnavailable(
+            f"{name} answered with a negative time",
+            "run the same version of all daemons",
+        )
+    return left_s
+
+
+def decode_answer(body: bytes, name: str, answer_type):
+    """Returns the JSON value in a response.
+
+    Args:
+      body: The body of the response.
+      name: Name of the daemon that sent it.
+      answer_type: Type of the value.
+
+    Raises:
+      PeerUnavailable: The body is not a value of that type.
+    """
     try:
-        return json.loads(body)
-    except ValueError as error:
+        return msgspec.json.decode(body, type=answer_type)
+    except msgspec.MsgspecError as error:
         raise exceptions.PeerUnavailable(
             f"{name} gave no valid answer: {error}",
             "run the same version of all daemons",
@@ -384,7 +415,7 @@
         try:
             address = last_known_address(fleet, voter)
             body = control_call(client, address, f"{PROMISE_PATH}{era}/{name}")
-            promised = decode_answer(body, voter)
+            promised = decode_answer(body, voter, bool)
         except exceptions.PeerUnavailable:
             # An unreachable voter makes no promise, but is still one of the
             # voters of whom a majority is needed.
--- a/packages/hops/tests/test_control.py
+++ b/packages/hops/tests/test_control.py
@@ -4,11 +4,14 @@
 import threading
 import time
 import types
+from unittest import mock
 
-import msgspec
 import attrs
+import hypothesis
+import msgspec
 import testtools
 import urllib3
+from hypothesis import strategies
 from urllib3 import connection
 
 from waxwinglever_assignment import fleet_view
@@ -224,6 +227,60 @@
         self.answer(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n12.5")
         self.assertEqual(12.5, self.request_clearance("n2", "n1"))
 
+    def encode(self, status: int, body: bytes) -> bytes:
+        """Returns a response with its length."""
+        head = f"HTTP/1.1 {status} \r\nContent-Length: {len(body)}\r\n\r\n"
+        return head.encode() + body
+
+    def test_clearance_is_a_time_or_null(self):
+        # A negative time or the body of a failure would count as a promise that
+        # has ended; other values raise errors that the planner can't expect.
+        self.answer(self.encode(200, b"null"))
+        self.assertIsNone(self.request_clearance("n2", "n1"))
+        answers = [(200, body) for body in (b"", b'"1"', b"[]", b"{}", b"true")]
+        answers += [
+            (200, body) for body in (b"NaN", b"-1", b"1 2", b"[" * 9999)
+        ]
+        answers += [(status, b"0") for status in (201, 400, 404, 500, 503)]
+        for status, body in answers:
+            self.answer(self.encode(status, body))
+            self.assertRaises(
+                exceptions.PeerUnavailable, self.request_clearance, "n2", "n1"
+            )
+
+    @hypothesis.given(strategies.binary(max_size=8))
+    def test_any_bytes_are_a_time_or_raise_peer_unavailable(self, body):
+        try:
+            left_s = control.decode_left_s(body, "n2")
+        except exceptions.PeerUnavailable:
+            return
+        self.assertTrue(left_s is None or 0 <= left_s < float("inf"))
+
+    @hypothesis.given(strategies.integers(0), strategies.integers(0, 255))
+    def test_spoiled_changes_raise_peer_unavailable_only(self, at, value):
+        for changes in (make_changes(b"x"), make_changes(make_config(400))):
+            sent = control.encode_changes(changes)
+            headers = tuple((n.lower(), v) for n, v in sent.headers)
+            for cut in (False, True):
+                body = bytearray(sent.body)
+                spoiled_at = at % len(body)
+                if cut:
+                    del body[spoiled_at:]
+                else:
+                    body[spoiled_at] = value
+                response = http_client.Response(200, headers, bytes(body))
+                with mock.patch.object(
+                    control, "control_request", return_value=response
+                ):
+                    fetch = control.changes_client(None)
+                    reader = fleet_view.Member("n1", "1", "x:1", "a", "ledger")
+                    try:
+                        taken = fetch(reader, "op/", 4, 2, 0.0)
+                    except exceptions.PeerUnavailable:
+                        continue
+                self.assertFalse(cut)
+                self.assertIsInstance(taken, leased.Changes)
+
 
 class PromisesTest(testtools.TestCase):
     """Guards against an owner that goes on without enough promises."""
@@ -266,6 +323,6 @@
 
     def test_voter_without_a_valid_answer_has_not_promised(self):
         # An earlier version answers 404 without a body.
-        for body in (b"", b"null", b"<html>"):
+        for body in (b"", b"null", b"<html>", b"1", b'"false"', b"[0]"):
             self.answers = dict.fromkeys("abcxyz", body)
             self.assertFalse(self.request_promises(3))
