Reject requests that can't be encoded with 400

Callers got 500 and lost their connection, and the daemon wrote a traceback in place of the request's line, when a request had a bare carriage return in a header, an empty header name, or a byte outside ASCII in a header name or the method: urllib3 refuses to send these, and its ValueError passed all handlers. A target that it refuses raised InvalidURL, which counted as a response that the server had lost; from callers it does not get that far, as cheroot rejects it with 400.

send_request raises InvalidRequest, a kind of ConnectFailed, as the head is sent only once all of it is encoded. Deliveries and the forwarder turn it into BadRequest, which the ingress does not retry. 500 was no false promise, and 400 is none either: nothing was sent.

--- a/packages/hops/src/waxwinglever_hops/forwarding.py
+++ b/packages/hops/src/waxwinglever_hops/forwarding.py
@@ -34,6 +34,7 @@
         exceptions.RateLimited,
         exceptions.Draining,
         exceptions.BackendUnavailable,
+        exceptions.BadRequest,
         exceptions.OutcomeUnknown,
         exceptions.Quarantined,
         messages.ShedByBackend,
@@ -103,8 +104,8 @@
     """Returns a function that sends a request to another daemon.
 
     The function returns that daemon's response or raises its refusal. It raises
-    PeerUnavailable if nothing was sent, and OutcomeUnknown if the response was
-    lost.
+    PeerUnavailable if nothing was sent, BadRequest if the request can't be
+    encoded, and OutcomeUnknown if the response was lost.
     """
 
     def send(
@@ -141,6 +142,8 @@
                 request_id=request.request_id,
                 framed=True,
             )
+        except http_client.InvalidRequest as error:
+            raise exceptions.BadRequest(error.message, error.remedy) from error
         except http_client.ConnectFailed as error:
             raise exceptions.PeerUnavailable(
                 error.message, error.remedy
--- a/packages/relay/src/waxwinglever_relay/delivery.py
+++ b/packages/relay/src/waxwinglever_relay/delivery.py
@@ -218,6 +218,8 @@
         response = local_delivery.backend_sender.send(
             request, local_delivery.backend.instance_id, caller
         )
+    except http_client.InvalidRequest as error:
+        raise exceptions.BadRequest(error.message, error.remedy) from error
     except http_client.ConnectFailed as error:
         record_failed_connect(local_delivery, error)
         raise backend_unavailable_error(error.message) from error
--- a/packages/relay/src/waxwinglever_relay/http_client.py
+++ b/packages/relay/src/waxwinglever_relay/http_client.py
@@ -62,6 +62,12 @@
     kind = "not-connected"
 
 
+class InvalidRequest(ConnectFailed):
+    """The request can't be encoded as HTTP; nothing was sent."""
+
+    kind = "invalid-request"
+
+
 class ResponseLost(exceptions.WaxwingleverError):
     """The request was sent, but no complete response was received.
 
@@ -253,7 +259,8 @@
         it can't be told from one that was cut.
 
     Raises:
-      ConnectFailed: No connection could be opened; nothing was sent.
+      ConnectFailed: No connection could be opened, or the request can't be
+        encoded (InvalidRequest); nothing was sent.
       ResponseLost: The response is missing or incomplete, or `check` raised it.
       ResponseTimeout: No complete response arrived in time.
       ResponseTooLarge: The response has more than `max_bytes`.
@@ -467,6 +474,9 @@
 
     Returns:
       Whether the whole body was sent.
+
+    Raises:
+      InvalidRequest: The head can't be encoded; nothing was sent.
     """
     conn.sock.settimeout(remaining_s(deadline_s))
     sent_headers = dict(headers)
@@ -486,14 +496,21 @@
             remaining = max(0, remaining - CHUNK_BYTES)
             yield body[start : start + CHUNK_BYTES]
 
-    conn.request(
-        method,
-        target,
-        body=chunks() if body else None,
-        headers=sent_headers,
-        preload_content=False,
-        decode_content=False,
-    )
+    try:
+        conn.request(
+            method,
+            target,
+            body=chunks() if body else None,
+            headers=sent_headers,
+            preload_content=False,
+            decode_content=False,
+        )
+    except (ValueError, http.client.InvalidURL) as error:
+        # The head is sent as a whole, once all of it is encoded.
+        raise InvalidRequest(
+            f"the request can't be forwarded: {error}",
+            "correct its method, target or headers",
+        ) from error
     return remaining == 0
 
 
--- a/packages/relay/src/waxwinglever_relay/ingress.py
+++ b/packages/relay/src/waxwinglever_relay/ingress.py
@@ -323,7 +323,9 @@
     Raises:
       CallerDisconnected: The caller has closed its connection.
     """
-    if len(attempts.refused_by) >= MAX_REFUSALS:
+    if len(attempts.refused_by) >= MAX_REFUSALS or isinstance(
+        attempts.last_refusal, exceptions.BadRequest
+    ):
         return False
     if not has_time_for_retry(ingress_router, request):
         return False
--- a/packages/relay/tests/test_http_client.py
+++ b/packages/relay/tests/test_http_client.py
@@ -9,6 +9,7 @@
 from waxwinglever_model import clock
 from waxwinglever_relay import http_client
 from waxwinglever_relay import messages
+from waxwinglever_standins import scripted_server
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
 # What a faulty server sends before, and then without end.
@@ -97,6 +98,38 @@
         )
         return clock.boottime_s() - started_s
 
+    def test_request_that_cannot_be_encoded_is_not_sent(self):
+        # Errors of other kinds passed all handlers, and a target with a space
+        # counted as a response that the server had lost.
+        received = scripted_server.start(HEAD + b"Content-Length: 0\r\n\r\n")
+        self.addCleanup(scripted_server.stop, received)
+        client = http_client.Client(1.0)
+        for method, target, headers in (
+            ("G T", "/", {}),
+            ("G\xe9T", "/", {}),
+            ("GET", "/\xe9", {}),
+            ("GET", "/a b", {}),
+            ("GET", "/\x7f", {}),
+            ("GET", "/", {"X-Own": "a\rb"}),
+            ("GET", "/", {"X-Own": "a\nb"}),
+            ("GET", "/", {"X-Own": "\u0442"}),
+            ("GET", "/", {"X-\xe9": "a"}),
+            ("GET", "/", {"": "a"}),
+        ):
+            self.assertRaises(
+                http_client.InvalidRequest,
+                http_client.send_request,
+                client,
+                received.address,
+                method,
+                target,
+                {"Host": "x"} | headers,
+                b"body",
+                clock.boottime_s() + 2.0,
+            )
+        self.assertEqual([], received.requests)
+        self.assertEqual({}, client.idle_connections)
+
     def test_response_that_trickles_in_ends_at_the_deadline(self):
         for name, (begin, piece) in ENDLESS_RESPONSES.items():
             server = Server(begin, piece[:32], TRICKLE_S)
