Treat an invalid address as one that can't be reached

An address without a port, or with a host that http.client refuses, raised ValueError or InvalidURL out of send_request. Addresses come from records of the store as well, which others may write. Such an address now raises ConnectFailed, as one at which nothing listens. The test failed before and passes now.

--- a/packages/relay/src/waxwinglever_relay/http_client.py
+++ b/packages/relay/src/waxwinglever_relay/http_client.py
@@ -347,9 +347,15 @@
       ConnectFailed: The connection could not be opened in time.
     """
     host, _, port = address.rpartition(":")
-    conn = framing_client.Connection(
-        host, int(port), timeout=timeout_s, socket_options=SOCKET_OPTIONS
-    )
+    try:
+        conn = framing_client.Connection(
+            host, int(port), timeout=timeout_s, socket_options=SOCKET_OPTIONS
+        )
+    except (ValueError, http.client.InvalidURL) as error:
+        raise ConnectFailed(
+            f"the address {address!r} is invalid",
+            "correct the settings or the record that names it",
+        ) from error
     try:
         conn.connect()
         conn.sock = BoundedSocket(fileno=conn.sock.detach())
--- a/packages/relay/tests/test_http_client.py
+++ b/packages/relay/tests/test_http_client.py
@@ -98,6 +98,21 @@
         )
         return clock.boottime_s() - started_s
 
+    def test_address_that_cannot_be_used_fails_to_connect(self):
+        # It may come from a record of another writer.
+        for address in (
+            *("", "x", "127.0.0.1", "127.0.0.1:", "127.0.0.1:x"),
+            *("127.0.0.1:-1", "127.0.0.1:99999", "127.0.0.1:\u0668", ":80"),
+            *("[::1:80", "x" * 80 + ":80", "\u0442..a:80", "a b:80", "\0:80"),
+        ):
+            self.assertRaises(
+                http_client.ConnectFailed,
+                http_client.open_connection,
+                http_client.Client(0.3),
+                address,
+                0.3,
+            )
+
     def test_request_that_cannot_be_encoded_is_not_sent(self):
         # Errors of other kinds passed all handlers, and a target with a space
         # counted as a response that the server had lost.
