--- a/packages/hops/src/waxwinglever_hops/forwarding.py
+++ b/packages/hops/src/waxwinglever_hops/forwarding.py
@@ -1,6 +1,5 @@
 """Forwarding of requests from the ingress daemon to the owner daemon."""
 
-import json
 from collections.abc import Callable, Mapping
 
 import attrs
@@ -35,6 +34,7 @@
         exceptions.RateLimited,
         exceptions.Draining,
         exceptions.BackendUnavailable,
+        exceptions.BadRequest,
         exceptions.OutcomeUnknown,
         exceptions.Quarantined,
         messages.ShedByBackend,
@@ -77,6 +77,24 @@
     notice: messages.ServerNotice | None = None
 
 
+@attrs.frozen
+class RefusalDetails:
+    """The body of a refusal that is sent between daemons.
+
+    Attributes:
+      message: What went wrong.
+      remedy: What the caller can do about it.
+      retry_after_ms: Delay before the caller may retry, or None.
+      crash_chain: Chain of crashes of the request, 0 if the backend server has
+        not crashed.
+    """
+
+    message: str
+    remedy: str
+    retry_after_ms: float | None
+    crash_chain: int = 0
+
+
 def make_forwarder(
     client: http_client.Client,
 ) -> Callable[
@@ -86,8 +104,8 @@
     """Returns a function that sends a request to another daemon.
 
     The function returns that daemon's response or raises its refusal. It raises
-    PeerUnavailable if nothing was sent, and OutcomeUnknown if the response was
-    lost.
+    PeerUnavailable if nothing was sent, BadRequest if the request can't be
+    encoded, and OutcomeUnknown if the response was lost.
     """
 
     def send(
@@ -122,7 +140,10 @@
                 request.deadline_s + RESPONSE_TRANSIT_S,
                 caller,
                 request_id=request.request_id,
+                framed=True,
             )
+        except http_client.InvalidRequest as error:
+            raise exceptions.BadRequest(error.message, error.remedy) from error
         except http_client.ConnectFailed as error:
             raise exceptions.PeerUnavailable(
                 error.message, error.remedy
@@ -161,10 +182,16 @@
             " outcome",
             "check that all daemons run the same version",
         )
-    details = json.loads(response.body)
-    fields = (details["message"], details["remedy"], details["retry_after_ms"])
-    if details.get("crash_chain"):
-        raise messages.ServerCrashed(*fields, details["crash_chain"])
+    try:
+        details = msgspec.json.decode(response.body, type=RefusalDetails)
+    except msgspec.MsgspecError as error:
+        raise exceptions.OutcomeUnknown(
+            f"another daemon sent an invalid refusal: {error}",
+            "check that all daemons run the same version",
+        ) from error
+    fields = (details.message, details.remedy, details.retry_after_ms)
+    if details.crash_chain:
+        raise messages.ServerCrashed(*fields, details.crash_chain)
     raise REFUSALS_BY_KIND[outcome](*fields)
 
 
@@ -253,13 +280,20 @@
     except exceptions.Refusal as error:
         log_delivery(endpoint, request, error.kind, began_s, error.message)
         return encode_refusal(error, endpoint.closing)
-    own_headers = ((OUTCOME_HEADER, OUTCOME_RAN),)
+    # The same names in the answer of a backend server are no statements of
+    # this daemon.
+    headers = tuple(
+        pair
+        for pair in response.headers
+        if pair[0].lower() not in (OUTCOME_HEADER, NOTICE_HEADER)
+    )
+    headers += ((OUTCOME_HEADER, OUTCOME_RAN),)
     if response.notice is not None:
         text = msgspec.json.encode(response.notice).decode()
-        own_headers += ((NOTICE_HEADER, text),)
+        headers += ((NOTICE_HEADER, text),)
     return server.HttpResponse(
         response.status,
-        response.headers + own_headers,
+        headers,
         response.body,
         endpoint.closing,
     )
@@ -329,16 +363,15 @@
     error: exceptions.Refusal, close: bool
 ) -> server.HttpResponse:
     """Returns the response that sends a refusal to the ingress daemon."""
-    body = {
-        "message": error.message,
-        "remedy": error.remedy,
-        "retry_after_ms": error.retry_after_ms,
-    }
-    if isinstance(error, messages.ServerCrashed):
-        body["crash_chain"] = error.chain
+    details = RefusalDetails(
+        error.message,
+        error.remedy,
+        error.retry_after_ms,
+        error.chain if isinstance(error, messages.ServerCrashed) else 0,
+    )
     return server.HttpResponse(
         error.status,
         ((OUTCOME_HEADER, error.kind),),
-        json.dumps(body).encode(),
+        msgspec.json.encode(details),
         close,
     )
--- a/packages/relay/src/waxwinglever_relay/http_client.py
+++ b/packages/relay/src/waxwinglever_relay/http_client.py
@@ -68,6 +68,12 @@
     refused = False
 
 
+class InvalidRequest(ConnectFailed):
+    """The request can't be encoded as HTTP; nothing was sent."""
+
+    kind = "invalid-request"
+
+
 class ResponseLost(exceptions.WaxwingleverError):
     """The request was sent, but no complete response was received.
 
@@ -113,8 +119,17 @@
     body: bytes
 
     def header(self, name: str) -> str | None:
-        """Returns the first header of that lower-case name, or None."""
-        return next((v for n, v in self.headers if n == name), None)
+        """Returns the value of the headers of that lower-case name, or None.
+
+        Different values are joined by commas. Either of them alone would pass
+        for what the sender states.
+        """
+        values = dict.fromkeys(v for n, v in self.headers if n == name)
+        return ", ".join(values) if values else None
+
+    def is_ambiguous(self, name: str) -> bool:
+        """Returns whether headers of that lower-case name differ."""
+        return len({v for n, v in self.headers if n == name}) > 1
 
 
 class BoundedSocket(socket.socket):
@@ -219,6 +234,7 @@
     request_id: str = "",
     single_use: bool = False,
     check_server: bool = False,
+    framed: bool = False,
 ) -> Response:
     """Sends a request and returns its complete response.
 
@@ -250,9 +266,13 @@
       single_use: Whether to use a connection that carries nothing else. Without
         an id in it, a second copy of another response would be taken for the
         response.
+      framed: Whether the server marks the end of each response by a length or
+        chunks. One that ends with its connection counts as incomplete then, as
+        it can't be told from one that was cut.
 
     Raises:
-      ConnectFailed: No connection could be opened; nothing was sent.
+      ConnectFailed: No connection could be opened, or the request can't be
+        encoded (InvalidRequest); nothing was sent.
       ResponseLost: The response is missing or incomplete, or `check` raised it.
       ResponseTimeout: No complete response arrived in time.
       ResponseTooLarge: The response has more than `max_bytes`.
@@ -289,6 +309,8 @@
         response = conn.read_response()
         with contextlib.closing(response):
             check_length(response, max_bytes)
+            if framed and response.framing.kind == heads.UNTIL_CLOSE:
+                raise heads.IncompleteResponse(heads.UNCLEAR_LENGTH, 0)
             complete = Response(
                 response.status,
                 tuple((n.lower(), v) for n, v in response.headers.items()),
@@ -345,9 +367,15 @@
       ConnectFailed: The connection could not be opened in time.
     """
     host, _, port = address.rpartition(":")
-    conn = framing_client.Connection(
-        host, int(port), timeout=timeout_s, socket_options=SOCKET_OPTIONS
-    )
+    try:
+        conn = framing_client.Connection(
+            host, int(port), timeout=timeout_s, socket_options=SOCKET_OPTIONS
+        )
+    except (ValueError, http.client.InvalidURL) as error:
+        raise ConnectFailed(
+            f"the address {address!r} is invalid",
+            "correct the settings or the record that names it",
+        ) from error
     try:
         conn.connect()
         conn.sock = BoundedSocket(fileno=conn.sock.detach())
@@ -500,6 +528,9 @@
 
     Returns:
       Whether the whole body was sent.
+
+    Raises:
+      InvalidRequest: The head can't be encoded; nothing was sent.
     """
     conn.sock.settimeout(remaining_s(deadline_s))
     sent_headers = dict(headers)
@@ -519,14 +550,21 @@
             remaining = max(0, remaining - CHUNK_BYTES)
             yield body[start : start + CHUNK_BYTES]
 
-    conn.request(
-        method,
-        target,
-        body=chunks() if body else None,
-        headers=sent_headers,
-        preload_content=False,
-        decode_content=False,
-    )
+    try:
+        conn.request(
+            method,
+            target,
+            body=chunks() if body else None,
+            headers=sent_headers,
+            preload_content=False,
+            decode_content=False,
+        )
+    except (ValueError, http.client.InvalidURL) as error:
+        # The head is sent as a whole, once all of it is encoded.
+        raise InvalidRequest(
+            f"the request can't be forwarded: {error}",
+            "correct its method, target or headers",
+        ) from error
     return remaining == 0
 
 
--- a/packages/relay/tests/test_incomplete_responses.py
+++ b/packages/relay/tests/test_incomplete_responses.py
@@ -3,6 +3,7 @@
 import subprocess
 import sys
 
+from waxwinglever_framing import heads
 from waxwinglever_model import clock
 from waxwinglever_relay import http_client
 from waxwinglever_standins import reader_suite
@@ -40,9 +41,7 @@
         super().setUp()
         self.client = http_client.Client(1.0)
 
-    def read(
-        self, address: str = "", check_server: bool = False
-    ) -> tuple[int, bytes]:
+    def read(self, address: str = "", **options: bool) -> tuple[int, bytes]:
         """Returns the status and the body of a response."""
         address = address or self.server.address
         response = http_client.send_request(
@@ -53,7 +52,7 @@
             {"Host": address},
             b"",
             clock.boottime_s() + 5.0,
-            check_server=check_server,
+            **options,
         )
         return response.status, response.body
 
@@ -92,7 +91,7 @@
                     http_client.PooledConnection(connection),
                 )
             error = self.assertRaises(
-                http_client.ResponseLost, self.read, address, True
+                http_client.ResponseLost, self.read, address, check_server=True
             )
             self.assertEqual(http_client.SERVER_GONE, error.reason)
             process.wait()
@@ -104,3 +103,17 @@
             self.assertEqual(response_samples.BODY, body)
         # Each response ends one, and its check opens the next one.
         self.assertEqual(6, self.client.opened)
+
+    def test_response_without_length_is_refused_where_each_has_one(self):
+        # The end of the connection alone can't be told from a cut.
+        reasons = []
+        self.client.count_incomplete = reasons.append
+        self.server.data = response_samples.until_close()
+        self.assertRaises(http_client.ResponseLost, self.read, framed=True)
+        self.assertEqual([heads.UNCLEAR_LENGTH], reasons)
+        self.server.ending = scripted_server.KEEP_OPEN
+        for name, sample in response_samples.whole().items():
+            self.server.data = sample.data
+            self.assertEqual(
+                (sample.status, sample.body), self.read(framed=True), name
+            )
