--- a/packages/framing/src/waxwinglever_framing/bodies.py
+++ b/packages/framing/src/waxwinglever_framing/bodies.py
@@ -40,51 +40,67 @@
     Attributes:
       sock: The connection.
       raw: Its unbuffered file.
-      pending: Bytes that were received and not read yet.
+      buffer: The last bytes that were received.
+      start: How many of them were read. Cutting them off at each read would
+        copy the buffer for each chunk, however small.
       ended: Whether the end of the connection was received.
       send_failed: Whether the request could not be sent to its end.
     """
 
     sock: socket.socket
     raw: io.RawIOBase
-    pending: bytes = b""
+    buffer: bytes = b""
+    start: int = 0
     ended: bool = False
     send_failed: bool = False
 
 
+def unread_bytes(source: Source) -> int:
+    """Returns how many bytes were received and not read yet."""
+    return len(source.buffer) - source.start
+
+
 def receive(source: Source) -> bool:
     """Receives some bytes; returns False at the end of the connection."""
     data = source.raw.read(PIECE_BYTES)
     if not data:
         source.ended = True
         return False
-    source.pending = source.pending + data if source.pending else data
+    unread = source.buffer[source.start :]
+    source.buffer = unread + data if unread else data
+    source.start = 0
     return True
 
 
+def take(source: Source, size: int) -> bytes:
+    """Returns the next `size` bytes that were received, or those there are."""
+    end = min(source.start + size, len(source.buffer))
+    data = source.buffer[source.start : end]
+    source.start = end
+    return data
+
+
 def read_up_to(source: Source, end: bytes, max_bytes: int) -> bytes | None:
     """Returns the bytes up to `end` and with it.
 
     Returns None if `end` is not among the next `max_bytes` bytes, or the
     connection ends before it.
     """
-    searched = 0
-    while (index := source.pending.find(end, searched)) < 0:
-        searched = max(0, len(source.pending) - len(end) + 1)
-        if len(source.pending) > max_bytes or not receive(source):
+    searched = source.start
+    while (index := source.buffer.find(end, searched)) < 0:
+        unread = unread_bytes(source)
+        if unread > max_bytes or not receive(source):
             return None
-    size = index + len(end)
-    data, source.pending = source.pending[:size], source.pending[size:]
-    return data
+        # The bytes that were unread are at the begin of the buffer now.
+        searched = max(0, unread - len(end) + 1)
+    return take(source, index + len(end) - source.start)
 
 
 def read_some(source: Source, max_bytes: int) -> bytes:
     """Returns at least one byte; none at the end of the connection."""
-    if not source.pending and not receive(source):
+    if not unread_bytes(source) and not receive(source):
         return b""
-    data = source.pending[:max_bytes]
-    source.pending = source.pending[max_bytes:]
-    return data
+    return take(source, max_bytes)
 
 
 def read_pieces(source: Source, framing: heads.Framing) -> Iterator[bytes]:
@@ -164,11 +180,10 @@
             left -= len(piece)
             received += len(piece)
             yield piece
-        while len(source.pending) < len(CRLF) and receive(source):
+        while unread_bytes(source) < len(CRLF) and receive(source):
             pass
-        if not source.pending.startswith(CRLF):
+        if take(source, len(CRLF)) != CRLF:
             raise chunk_error(source, received)
-        source.pending = source.pending[len(CRLF) :]
     trailer_bytes = 0
     while (line := read_up_to(source, CRLF, MAX_TRAILER_BYTES)) != CRLF:
         if line is None or trailer_bytes > MAX_TRAILER_BYTES:
--- a/packages/framing/src/waxwinglever_framing/client.py
+++ b/packages/framing/src/waxwinglever_framing/client.py
@@ -53,7 +53,7 @@
 
     def close(self) -> None:
         """Releases the connection, which another response may use."""
-        if not self.closed and self.source.pending:
+        if not self.closed and bodies.unread_bytes(self.source):
             # Bytes behind the response belong to no request. The connection
             # counts as dropped from here on, so that no pool uses it again.
             with contextlib.suppress(OSError):
@@ -136,13 +136,13 @@
     """
     for _ in range(MAX_INTERIM_RESPONSES):
         data = bodies.read_up_to(source, b"\r\n\r\n", bodies.MAX_HEAD_BYTES)
-        if data is None and not source.pending:
+        if data is None and not bodies.unread_bytes(source):
             raise http.client.RemoteDisconnected(
                 "the connection was closed without a response"
             )
         if data is None:
             reason = heads.CUT_HEAD if source.ended else heads.MALFORMED_HEAD
-            raise heads.IncompleteResponse(reason, len(source.pending))
+            raise heads.IncompleteResponse(reason, bodies.unread_bytes(source))
         head = heads.parse_head(data)
         if head.status >= 200:
             return head
--- a/packages/framing/tests/test_bodies.py
+++ b/packages/framing/tests/test_bodies.py
@@ -57,7 +57,7 @@
         body = b"".join(bodies.read_pieces(source, framing))
         while bodies.receive(source):
             pass
-        return body, source.pending
+        return body, source.buffer[source.start :]
 
     @hypothesis.given(SIZES)
     def test_body_does_not_depend_on_the_segments(self, sizes):
