Refuse unclear heads at the product's own front too

The product's front, CherryPy's server, ran the same malformed heads as the platform's daemon: 11 of 16 with a line that is no header, 6 of 7 with a repeated header that decides, and 12 of 21 malformed request lines; four more got 500. The parser is the same one of cheroot.

The class that parses a head clearly moves to hops/heads.py, and both servers use it. The front names its own headers that may not be repeated, such as the key and the timeout.

The three tests failed before and pass now. Chunks that are cut or malformed are still open at this server.

--- a/packages/daemon/src/waxwinglever_daemon/http_server.py
+++ b/packages/daemon/src/waxwinglever_daemon/http_server.py
@@ -10,6 +10,9 @@
 from cheroot import server as cheroot_server
 from cherrypy import _cpwsgi_server
 
+from waxwinglever_front import http_codec
+from waxwinglever_hops import heads
+
 # The rest of a body that was not read is discarded up to this size and within
 # this time. Past that the connection is closed.
 MAX_DISCARDED_BYTES = 262_144
@@ -17,9 +20,11 @@
 PIECE_BYTES = 8_192
 
 
-class Request(_cpwsgi_server.CPWSGIHTTPRequest):
+class Request(heads.Request, _cpwsgi_server.CPWSGIHTTPRequest):
     """A request that leaves its connection at the start of the next one."""
 
+    header_reader = heads.make_header_reader(http_codec.SINGLE_HEADERS)
+
     def respond(self):
         super().respond()
         if self.chunked_read and not self.close_connection:
--- a/packages/daemon/tests/test_http_server.py
+++ b/packages/daemon/tests/test_http_server.py
@@ -8,10 +8,16 @@
 from cheroot import wsgi
 
 from waxwinglever_daemon import http_server
+from waxwinglever_front import http_codec
+from waxwinglever_model import exceptions
+from waxwinglever_standins import request_samples
 
 CHUNKS = b"5;a=b\r\nphoto\r\n0\r\nA: b\r\n\r\n"
 
 
+REFUSED_STATUSES = (b"400", b"413", b"501", b"505")
+
+
 def application(environ, start_response):
     """Reads the body of requests to /read, and refuses the others."""
     if environ["PATH_INFO"] == "/read":
@@ -64,3 +70,64 @@
             with socket.create_connection(self.address, 5.0) as sock:
                 self.assertEqual(404, self.send(sock, "/refuse", body))
                 self.assertEqual(b"", sock.recv(100))
+
+
+class IncompleteRequestsTest(testtools.TestCase):
+    """Guards against requests that run though a part of them is missing."""
+
+    def setUp(self):
+        super().setUp()
+        self.ran = []
+        server = wsgi.Server(("127.0.0.1", 0), self.run_request, numthreads=4)
+        server.ConnectionClass = http_server.Connection
+        # Each failure of the server itself is an entry in its log.
+        self.errors = []
+        server.error_log = self.log_error
+        server.prepare()
+        threading.Thread(target=server.serve, daemon=True).start()
+        self.addCleanup(server.stop)
+        self.address = server.bind_addr
+
+    def run_request(self, environ, start_response):
+        """Notes a request whose body can be read, and returns the body."""
+        try:
+            body = http_codec.read_body(environ)
+        except exceptions.Refusal as error:
+            headers = [("Content-Length", "0"), ("Connection", "close")]
+            start_response(f"{error.status} Refused", headers)
+            return [b""]
+        self.ran.append(body)
+        start_response("200 OK", [("Content-Length", str(len(body)))])
+        return [body]
+
+    def log_error(self, msg="", level=20, traceback=False):
+        """Notes an entry of the server's log."""
+        del level, traceback
+        self.errors.append(msg)
+
+    def send(self, data: bytes) -> bytes:
+        """Sends bytes and ends the connection; returns what the server sent."""
+        with socket.create_connection(self.address, 5.0) as sock:
+            sock.sendall(data)
+            sock.shutdown(socket.SHUT_WR)
+            with sock.makefile("rb") as stream:
+                return stream.read()
+
+    def check_refused(self, samples: dict[str, bytes]) -> None:
+        """Checks that no request runs."""
+        faults = {}
+        for name, data in samples.items():
+            self.ran.clear()
+            received = self.send(data)
+            if self.ran or received[9:12] not in REFUSED_STATUSES:
+                faults[name] = (len(self.ran), received[9:12])
+        self.assertEqual(({}, []), (faults, self.errors))
+
+    def test_malformed_headers(self):
+        self.check_refused(request_samples.malformed_headers())
+
+    def test_repeated_headers_that_decide(self):
+        self.check_refused(request_samples.repeated_headers())
+
+    def test_malformed_request_lines(self):
+        self.check_refused(request_samples.malformed_request_lines())
--- a/packages/front/src/waxwinglever_front/http_codec.py
+++ b/packages/front/src/waxwinglever_front/http_codec.py
@@ -21,6 +21,15 @@
 OWNER_HEADER = "Waxwinglever-Owner"
 MAP_VERSION_HEADER = "Waxwinglever-Map-Version"
 REFUSAL_HEADER = "Waxwinglever-Refusal"
+# Headers of a request that decide how it is handled.
+SINGLE_HEADERS = (
+    KEY_HEADER,
+    TIMEOUT_MS_HEADER,
+    CLASS_HEADER,
+    REQUEST_ID_HEADER,
+    TICKET_HEADER,
+    HOPS_HEADER,
+)
 
 DEFAULT_CLASS = "default"
 MAX_KEY_CHARACTERS = 1024
--- a/packages/hops/src/waxwinglever_hops/heads.py
+++ b/packages/hops/src/waxwinglever_hops/heads.py
@@ -6,7 +6,9 @@
 there, or another end of the body.
 """
 
+import io
 import re
+from collections.abc import Iterable
 
 from cheroot import server as cheroot_server
 
@@ -60,3 +62,49 @@
                 value = headers[name] + separator + value
             headers[name] = value
         return headers
+
+
+def make_header_reader(single_headers: Iterable[str]) -> HeaderReader:
+    """Returns a reader that refuses requests which repeat certain headers.
+
+    Args:
+      single_headers: Names of headers besides those of SINGLE.
+    """
+    return HeaderReader(
+        SINGLE.union(name.title().encode("ascii") for name in single_headers)
+    )
+
+
+class Request(cheroot_server.HTTPRequest):
+    """A request whose head is clear.
+
+    Attributes:
+      rfile: What the head is read from; cheroot sets it for each request.
+    """
+
+    rfile = None
+    header_reader = make_header_reader(())
+
+    def read_request_line(self):
+        lines = self.rfile
+        line = lines.readline()
+        # From here on, cheroot answers a timeout with 408.
+        self.started_request = True
+        if line == CRLF:
+            # One empty line before a request is allowed.
+            line = lines.readline()
+        if line and not REQUEST_LINE.fullmatch(line):
+            return self.refuse_request_line()
+        self.rfile = io.BytesIO(line)
+        try:
+            return super().read_request_line()
+        except ValueError:
+            # The target looks like an authority that can't be parsed.
+            return self.refuse_request_line()
+        finally:
+            self.rfile = lines
+
+    def refuse_request_line(self) -> bool:
+        """Writes the response to a malformed request line; returns False."""
+        self.simple_response("400 Bad Request", "Malformed Request-Line")
+        return False
--- a/packages/hops/src/waxwinglever_hops/server.py
+++ b/packages/hops/src/waxwinglever_hops/server.py
@@ -6,7 +6,6 @@
 
 import functools
 import http
-import io
 import select
 import socket
 import threading
@@ -116,45 +115,16 @@
 Handler = Callable[[HttpRequest], HttpResponse]
 
 
-class Request(cheroot_server.HTTPRequest):
+class Request(heads.Request):
     """A request whose refusal by cheroot itself arrives as well.
 
     cheroot closes the connection after it, with the rest of the request unread.
-
-    Attributes:
-      rfile: What the head is read from; cheroot sets it for each request.
     """
 
-    rfile = None
-
     @property
     def header_reader(self):
         return self.server.header_reader
 
-    def read_request_line(self):
-        lines = self.rfile
-        line = lines.readline()
-        # From here on, cheroot answers a timeout with 408.
-        self.started_request = True
-        if line == heads.CRLF:
-            # One empty line before a request is allowed.
-            line = lines.readline()
-        if line and not heads.REQUEST_LINE.fullmatch(line):
-            return self.refuse_request_line()
-        self.rfile = io.BytesIO(line)
-        try:
-            return super().read_request_line()
-        except ValueError:
-            # The target looks like an authority that can't be parsed.
-            return self.refuse_request_line()
-        finally:
-            self.rfile = lines
-
-    def refuse_request_line(self) -> bool:
-        """Writes the response to a malformed request line; returns False."""
-        self.simple_response("400 Bad Request", "Malformed Request-Line")
-        return False
-
     def simple_response(self, status, msg=""):
         super().simple_response(status, msg)
         bodies.linger(self.conn)
@@ -189,11 +159,7 @@
         gateway=make_gateway_class(handle),
     )
     server.ConnectionClass = Connection
-    server.header_reader = heads.HeaderReader(
-        heads.SINGLE.union(
-            name.title().encode("ascii") for name in single_headers
-        )
-    )
+    server.header_reader = heads.make_header_reader(single_headers)
     server.requests = workers.WorkerPool(server, threads)
     server.request_queue_size = BACKLOG
     server.timeout = DEFAULT_IDLE_TIMEOUT_S
