Refuse cut and malformed bodies at the product's own front

At the product's front, a request in chunks ran if it was cut at any of the last 37 bytes, in the line of the last chunk or its trailers: cheroot's reader ends a body at the end of the connection as at its last chunk. Seven of nine malformed chunked bodies, and requests with both framings, with chunks over HTTP/1.0 or with an empty coding ran as well; two malformed chunks got 500.

The body is read by hops/bodies.py, as in the platform's daemon. It is a file that fails if the body is cut or malformed, and what nobody reads is discarded by the same module, which replaces discard_chunks.

Three tests failed before and pass now.

--- a/packages/daemon/src/waxwinglever_daemon/http_server.py
+++ b/packages/daemon/src/waxwinglever_daemon/http_server.py
@@ -1,23 +1,64 @@
-"""CherryPy's HTTP server, with bodies in chunks read to their end.
+"""CherryPy's HTTP server, with bodies that are read to their end.
 
-cheroot reads the rest of a body with a length, but leaves the rest of one in
-chunks, and the lines behind its last chunk. They would be parsed as the next
-request of the connection.
+cheroot takes a body in chunks that is cut for a whole one. It leaves the lines
+behind the last chunk, and the rest of a body that nobody reads, to be parsed as
+the next request of the connection.
 """
 
+import io
+
 import cherrypy
-from cheroot import errors
 from cheroot import server as cheroot_server
 from cherrypy import _cpwsgi_server
 
 from waxwinglever_front import http_codec
+from waxwinglever_hops import bodies
 from waxwinglever_hops import heads
+from waxwinglever_model import exceptions
+from waxwinglever_relay import messages
+
+
+class BodyReader(io.RawIOBase):
+    """The body of a request as a file, which fails if the body is cut.
+
+    Attributes:
+      body: The body.
+      max_bytes: Size up to which it is read, or None.
+      size: How much of it was read.
+      pending: A part of that which was not returned yet.
+    """
 
-# The rest of a body that was not read is discarded up to this size and within
-# this time. Past that the connection is closed.
-MAX_DISCARDED_BYTES = 262_144
-DISCARD_TIMEOUT_S = 1.0
-PIECE_BYTES = 8_192
+    def __init__(self, body: bodies.RequestBody, max_bytes: int | None):
+        super().__init__()
+        self.body = body
+        self.max_bytes = max_bytes
+        self.size = 0
+        self.pending = b""
+
+    def readable(self) -> bool:
+        """Returns True; see io.RawIOBase."""
+        return True
+
+    def readinto(self, buffer, /) -> int:
+        """Reads some bytes; see io.RawIOBase.
+
+        Raises:
+          BadRequest: The body is cut or malformed.
+          TooLarge: It is longer than `max_bytes`.
+        """
+        try:
+            if not self.pending:
+                self.pending = next(bodies.read_pieces(self.body), b"")
+                self.size += len(self.pending)
+        except messages.CallerDisconnected as error:
+            raise exceptions.BadRequest(
+                "the body ended early", "send as many bytes as announced"
+            ) from error
+        bodies.check_size(self.size, self.max_bytes)
+        size = min(len(self.pending), len(buffer))
+        buffer[:size] = self.pending[:size]
+        self.pending = self.pending[size:]
+        return size
 
 
 class Request(heads.Request, _cpwsgi_server.CPWSGIHTTPRequest):
@@ -26,9 +67,21 @@
     header_reader = heads.make_header_reader(http_codec.SINGLE_HEADERS)
 
     def respond(self):
-        super().respond()
-        if self.chunked_read and not self.close_connection:
-            self.close_connection = not discard_chunks(self)
+        body = bodies.find_body(self)
+        if body.broken:
+            self.simple_response("400 Bad Request", "The length is not clear.")
+            bodies.linger(self.conn)
+            self.close_connection = True
+            return
+        max_bytes = self.server.max_request_body_size or None
+        self.rfile = io.BufferedReader(BodyReader(body, max_bytes))
+        self.server.gateway(self).respond()
+        if self.ready:
+            self.ensure_headers_sent()
+        if self.chunked_write:
+            self.conn.wfile.write(b"0\r\n\r\n")
+        if not self.close_connection:
+            self.close_connection = not bodies.discard(body)
 
 
 class Connection(cheroot_server.HTTPConnection):
@@ -46,26 +99,3 @@
         super().__init__(server_adapter)
         # CherryPy sets a class of its own.
         Connection.RequestHandlerClass = Request
-
-
-def discard_chunks(request: cheroot_server.HTTPRequest) -> bool:
-    """Reads the rest of a body in chunks, within bounds.
-
-    Returns:
-      Whether the next request follows; otherwise the connection must be closed.
-    """
-    sock = request.conn.socket
-    timeout_s = sock.gettimeout()
-    sock.settimeout(DISCARD_TIMEOUT_S)
-    size = 0
-    try:
-        while not request.rfile.closed:
-            size += len(request.rfile.read(PIECE_BYTES))
-            if size > MAX_DISCARDED_BYTES:
-                return False
-        for _ in request.rfile.read_trailer_lines():
-            pass
-    except (OSError, ValueError, errors.MaxSizeExceeded):
-        return False
-    sock.settimeout(timeout_s)
-    return True
--- a/packages/daemon/tests/test_http_server.py
+++ b/packages/daemon/tests/test_http_server.py
@@ -113,6 +113,20 @@
             with sock.makefile("rb") as stream:
                 return stream.read()
 
+    def test_cut_requests_do_not_run(self):
+        faults = []
+        for name, sample in request_samples.whole().items():
+            if len(sample.requests) > 1:
+                continue
+            data = sample.requests[0]
+            for size in range(1, len(data)):
+                self.ran.clear()
+                self.send(data[:size])
+                if self.ran:
+                    faults.append((name, size, len(data)))
+            self.assertIn(b" 200 OK", self.send(data))
+        self.assertEqual([], faults)
+
     def check_refused(self, samples: dict[str, bytes]) -> None:
         """Checks that no request runs."""
         faults = {}
@@ -129,5 +143,11 @@
     def test_repeated_headers_that_decide(self):
         self.check_refused(request_samples.repeated_headers())
 
+    def test_unclear_lengths(self):
+        self.check_refused(request_samples.unclear_lengths())
+
     def test_malformed_request_lines(self):
         self.check_refused(request_samples.malformed_request_lines())
+
+    def test_malformed_chunks(self):
+        self.check_refused(request_samples.malformed_chunks())
