--- a/packages/bench/src/waxwinglever_bench/exchange.py
+++ b/packages/bench/src/waxwinglever_bench/exchange.py
@@ -4,6 +4,7 @@
 import time
 
 from waxwinglever_model import clock
+from waxwinglever_relay import connection_pool
 from waxwinglever_relay import http_client
 from waxwinglever_standins import response_samples
 from waxwinglever_standins import scripted_server
@@ -29,7 +30,7 @@
     """
     data = response_samples.whole(*HEADERS)[framing].data
     server = scripted_server.start(data, scripted_server.KEEP_OPEN)
-    client = http_client.Client(1.0)
+    client = connection_pool.Client(1.0)
     rounds_s = []
     try:
         for _ in range(ROUNDS):
@@ -46,6 +47,6 @@
                 )
             rounds_s.append(time.thread_time() - began_s)
     finally:
-        http_client.close_idle(client, server.address)
+        connection_pool.close_idle(client, server.address)
         scripted_server.stop(server)
     return statistics.median(rounds_s) / requests * 1_000_000
--- a/packages/hops/src/waxwinglever_hops/control.py
+++ b/packages/hops/src/waxwinglever_hops/control.py
@@ -23,6 +23,7 @@
 from waxwinglever_hops import server
 from waxwinglever_model import clock
 from waxwinglever_model import exceptions
+from waxwinglever_relay import connection_pool
 from waxwinglever_relay import delivery
 from waxwinglever_relay import http_client
 from waxwinglever_store import leased
@@ -196,7 +197,7 @@
 
 
 def changes_client(
-    client: http_client.Client,
+    client: connection_pool.Client,
 ) -> Callable[[fleet_view.Member, str, int, int, float], leased.Changes]:
     """Returns a function that requests changes of the store from a reader.
 
@@ -242,7 +243,9 @@
     return fetch_changes
 
 
-def control_call(client: http_client.Client, address: str, path: str) -> bytes:
+def control_call(
+    client: connection_pool.Client, address: str, path: str
+) -> bytes:
     """Returns the body of another daemon's response to a control call.
 
     Raises:
@@ -259,7 +262,7 @@
 
 
 def control_request(
-    client: http_client.Client,
+    client: connection_pool.Client,
     address: str,
     path: str,
     timeout_s: float,
@@ -292,13 +295,13 @@
             connect_timeout_s=connect_timeout_s,
             framed=True,
         )
-    except (http_client.ConnectFailed, http_client.ResponseLost) as error:
-        http_client.close_idle(client, address)
+    except (connection_pool.ConnectFailed, http_client.ResponseLost) as error:
+        connection_pool.close_idle(client, address)
         raise exceptions.PeerUnavailable(error.message, error.remedy) from error
 
 
 def load_client(
-    client: http_client.Client,
+    client: connection_pool.Client,
 ) -> Callable[[fleet_view.Member], loads.LoadReport]:
     """Returns a function that requests the load report of another daemon.
 
@@ -319,7 +322,7 @@
 
 
 def clearance_client(
-    client: http_client.Client, fleet: fleet_view.FleetView
+    client: connection_pool.Client, fleet: fleet_view.FleetView
 ) -> Callable[[str, str], float | None]:
     """Returns a function that requests a clearance of an owner from a voter.
 
@@ -339,7 +342,7 @@
 
 
 def era_clearance_client(
-    client: http_client.Client, fleet: fleet_view.FleetView
+    client: connection_pool.Client, fleet: fleet_view.FleetView
 ) -> Callable[[str, int], float | None]:
     """Returns a function that requests a clearance of earlier eras.
 
@@ -392,7 +395,7 @@
 
 
 def promise_client(
-    client: http_client.Client,
+    client: connection_pool.Client,
     fleet: fleet_view.FleetView,
     name: str,
     executor: futures.ThreadPoolExecutor,
--- a/packages/hops/src/waxwinglever_hops/forwarding.py
+++ b/packages/hops/src/waxwinglever_hops/forwarding.py
@@ -10,6 +10,7 @@
 from waxwinglever_hops import server
 from waxwinglever_model import clock
 from waxwinglever_model import exceptions
+from waxwinglever_relay import connection_pool
 from waxwinglever_relay import delivery
 from waxwinglever_relay import http_client
 from waxwinglever_relay import messages
@@ -96,7 +97,7 @@
 
 
 def make_forwarder(
-    client: http_client.Client,
+    client: connection_pool.Client,
 ) -> Callable[
     [fleet_view.Member, messages.Request, messages.CallerConnection | None],
     messages.Response,
@@ -144,14 +145,14 @@
             )
         except http_client.InvalidRequest as error:
             raise exceptions.BadRequest(error.message, error.remedy) from error
-        except http_client.ConnectFailed as error:
+        except connection_pool.ConnectFailed as error:
             raise exceptions.PeerUnavailable(
                 error.message, error.remedy
             ) from error
         except http_client.ResponseLost as error:
             if isinstance(error, http_client.ResponseTimeout):
                 # The other idle connections to a silent VM are dead too.
-                http_client.close_idle(client, member.address)
+                connection_pool.close_idle(client, member.address)
             raise exceptions.OutcomeUnknown(
                 f"the answer of {member.name} was lost: {error.message}",
                 "find out whether the request took effect",
--- a/packages/hops/tests/test_control.py
+++ b/packages/hops/tests/test_control.py
@@ -19,6 +19,7 @@
 from waxwinglever_assignment import readers
 from waxwinglever_hops import control
 from waxwinglever_model import exceptions
+from waxwinglever_relay import connection_pool
 from waxwinglever_relay import http_client
 from waxwinglever_standins import scripted_server
 from waxwinglever_store import leased
@@ -100,7 +101,7 @@
         link = FullLink(self.send(changes), wait_s)
         self.addCleanup(link.listener.close)
         reader = fleet_view.Member("n1", "1", link.address, "a", "ledger")
-        fetch_changes = control.changes_client(http_client.Client(0.3))
+        fetch_changes = control.changes_client(connection_pool.Client(0.3))
         return fetch_changes(reader, "op/", 1, 1, wait_s)
 
     def test_large_configuration_fits_a_slow_link(self):
@@ -210,7 +211,7 @@
         self.addCleanup(scripted_server.stop, self.voter)
         self.patch(control, "last_known_address", lambda *_: self.voter.address)
         self.request_clearance = control.clearance_client(
-            http_client.Client(0.3), None
+            connection_pool.Client(0.3), None
         )
 
     def answer(self, data: bytes) -> None:
--- a/packages/hops/tests/test_forwarding.py
+++ b/packages/hops/tests/test_forwarding.py
@@ -13,6 +13,7 @@
 from waxwinglever_hops import server
 from waxwinglever_model import clock
 from waxwinglever_model import exceptions
+from waxwinglever_relay import connection_pool
 from waxwinglever_relay import delivery
 from waxwinglever_relay import http_client
 from waxwinglever_relay import messages
@@ -77,7 +78,7 @@
         )
         self.assertRaises(
             exceptions.OutcomeUnknown,
-            forwarding.make_forwarder(http_client.Client(0.3)),
+            forwarding.make_forwarder(connection_pool.Client(0.3)),
             fleet_view.Member("n2", "1", peer.address, "a", "ledger"),
             request,
             None,
--- a/packages/hops/tests/test_server.py
+++ b/packages/hops/tests/test_server.py
@@ -7,6 +7,7 @@
 
 from waxwinglever_hops import server
 from waxwinglever_model import clock
+from waxwinglever_relay import connection_pool
 from waxwinglever_relay import http_client
 
 
@@ -42,7 +43,7 @@
             received.append((incoming.target, incoming.read_body()))
             return server.HttpResponse(201, (("X-Two", "2"),), b"y" * 100_000)
 
-        client = http_client.Client(0.5)
+        client = connection_pool.Client(0.5)
         address = self.serve(handle)
         for _ in range(2):
             response = self.post(client, address, b"x" * 50_000)
@@ -56,7 +57,7 @@
         # 205 had neither a length nor chunks; its caller waited for the end.
         responses = []
         address = self.serve(lambda _: responses[-1])
-        client = http_client.Client(0.5)
+        client = connection_pool.Client(0.5)
         for status in (200, 204, 205, 206, 304, 404, 500, 599, 799):
             for body in (b"", b"x" * 100):
                 responses.append(server.HttpResponse(status, (), body))
@@ -77,7 +78,7 @@
             ("server", "x"),
         )
         address = self.serve(lambda _: server.HttpResponse(200, headers, b""))
-        response = self.post(http_client.Client(0.5), address)
+        response = self.post(connection_pool.Client(0.5), address)
         self.assertEqual(
             sorted((*headers, ("content-length", "0"))),
             sorted(response.headers),
@@ -90,7 +91,7 @@
         self.assertRaises(
             http_client.ResponseLost,
             self.post,
-            http_client.Client(0.5),
+            connection_pool.Client(0.5),
             self.serve(handle),
         )
 
@@ -119,7 +120,7 @@
         self.assertEqual([], bodies)
 
     def test_response_can_close_the_connection(self):
-        client = http_client.Client(0.5)
+        client = connection_pool.Client(0.5)
         address = self.serve(lambda _: server.HttpResponse(200, (), b"", True))
         for _ in range(2):
             self.assertEqual(
@@ -207,7 +208,7 @@
                     status, (), body
                 )
             )
-            response = self.post(http_client.Client(0.3), address)
+            response = self.post(connection_pool.Client(0.3), address)
             self.assertEqual((status, body), (response.status, response.body))
 
     def test_handler_notices_that_its_caller_disconnected(self):
--- a/packages/relay/src/waxwinglever_relay/delivery.py
+++ b/packages/relay/src/waxwinglever_relay/delivery.py
@@ -14,6 +14,7 @@
 from waxwinglever_model import exceptions
 from waxwinglever_relay import backend_state
 from waxwinglever_relay import cold_watch
+from waxwinglever_relay import connection_pool
 from waxwinglever_relay import http_client
 from waxwinglever_relay import messages
 from waxwinglever_relay import routes
@@ -35,7 +36,7 @@
       send: Sends an admitted request to the backend server with the given
         instance id and returns the Response; stops when the given caller, if
         any, disconnects. Raises NotExecuted refusals,
-        http_client.ConnectFailed, http_client.ResponseLost and
+        connection_pool.ConnectFailed, http_client.ResponseLost and
         messages.CallerDisconnected.
       is_reachable: Opens a connection; returns whether that works.
     """
@@ -220,7 +221,7 @@
         )
     except http_client.InvalidRequest as error:
         raise exceptions.BadRequest(error.message, error.remedy) from error
-    except http_client.ConnectFailed as error:
+    except connection_pool.ConnectFailed as error:
         record_failed_connect(local_delivery, error)
         raise backend_unavailable_error(error.message) from error
     except http_client.ResponseTimeout as error:
@@ -241,7 +242,7 @@
 
 
 def record_failed_connect(
-    local_delivery: LocalDelivery, error: http_client.ConnectFailed
+    local_delivery: LocalDelivery, error: connection_pool.ConnectFailed
 ) -> None:
     """Counts a failed connection and marks the backend server down if needed.
 
--- a/packages/relay/tests/test_crash_records.py
+++ b/packages/relay/tests/test_crash_records.py
@@ -14,6 +14,7 @@
 from waxwinglever_assignment import replicas
 from waxwinglever_model import exceptions
 from waxwinglever_relay import backend_state
+from waxwinglever_relay import connection_pool
 from waxwinglever_relay import crash_records
 from waxwinglever_relay import delivery
 from waxwinglever_relay import http_client
@@ -146,7 +147,7 @@
         """Runs a request at a backend server."""
         node = self.nodes[name]
         if node.up_s > self.clock.now_s:
-            raise http_client.ConnectFailed("refused", "none")
+            raise connection_pool.ConnectFailed("refused", "none")
         if request.target != CRASHING:
             return self.build.RESPONSE
         self.crashes_s.append(self.clock.now_s)
--- a/packages/relay/tests/test_delivery.py
+++ b/packages/relay/tests/test_delivery.py
@@ -9,13 +9,14 @@
 from waxwinglever_model import exceptions
 from waxwinglever_relay import backend_state
 from waxwinglever_relay import cold_watch
+from waxwinglever_relay import connection_pool
 from waxwinglever_relay import delivery
 from waxwinglever_relay import http_client
 from waxwinglever_relay import messages
 
 LOST = http_client.ResponseLost("reset", "none")
 LATE = http_client.ResponseTimeout("late", "none")
-REFUSED = http_client.ConnectFailed("refused", "none")
+REFUSED = connection_pool.ConnectFailed("refused", "none")
 
 
 @pytest.mark.usefixtures("build")
--- a/packages/relay/tests/test_http_client.py
+++ b/packages/relay/tests/test_http_client.py
@@ -7,6 +7,7 @@
 import testtools
 
 from waxwinglever_model import clock
+from waxwinglever_relay import connection_pool
 from waxwinglever_relay import http_client
 from waxwinglever_relay import messages
 from waxwinglever_standins import scripted_server
@@ -80,7 +81,7 @@
     ) -> http_client.Response:
         """Sends a request and returns its response."""
         return http_client.send_request(
-            http_client.Client(1.0),
+            connection_pool.Client(1.0),
             server.address,
             "GET",
             "/",
@@ -106,9 +107,9 @@
             *("[::1:80", "x" * 80 + ":80", "\u0442..a:80", "a b:80", "\0:80"),
         ):
             self.assertRaises(
-                http_client.ConnectFailed,
-                http_client.open_connection,
-                http_client.Client(0.3),
+                connection_pool.ConnectFailed,
+                connection_pool.open_connection,
+                connection_pool.Client(0.3),
                 address,
                 0.3,
             )
@@ -118,7 +119,7 @@
         # counted as a response that the server had lost.
         received = scripted_server.start(HEAD + b"Content-Length: 0\r\n\r\n")
         self.addCleanup(scripted_server.stop, received)
-        client = http_client.Client(1.0)
+        client = connection_pool.Client(1.0)
         for method, target, headers in (
             ("G T", "/", {}),
             ("G\xe9T", "/", {}),
@@ -233,7 +234,7 @@
         self.assertRaises(
             messages.CallerDisconnected,
             http_client.send_request,
-            http_client.Client(0.5),
+            connection_pool.Client(0.5),
             f"127.0.0.1:{silent.getsockname()[1]}",
             "GET",
             "/",
@@ -269,7 +270,7 @@
             second.sendall(response + b"2")
 
         threading.Thread(target=serve, daemon=True).start()
-        client = http_client.Client(1.0)
+        client = connection_pool.Client(1.0)
         address = f"127.0.0.1:{listener.getsockname()[1]}"
         bodies = []
         for _ in range(2):
@@ -306,7 +307,7 @@
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.addCleanup(self.listener.close)
         self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
-        self.client = http_client.Client(1.0)
+        self.client = connection_pool.Client(1.0)
         threading.Thread(target=self.accept, daemon=True).start()
 
     def accept(self) -> None:
--- a/packages/relay/tests/test_incomplete_responses.py
+++ b/packages/relay/tests/test_incomplete_responses.py
@@ -5,6 +5,7 @@
 
 from waxwinglever_framing import heads
 from waxwinglever_model import clock
+from waxwinglever_relay import connection_pool
 from waxwinglever_relay import http_client
 from waxwinglever_standins import reader_suite
 from waxwinglever_standins import response_samples
@@ -39,7 +40,7 @@
 
     def setUp(self):
         super().setUp()
-        self.client = http_client.Client(1.0)
+        self.client = connection_pool.Client(1.0)
 
     def read(self, address: str = "", **options: bool) -> tuple[int, bytes]:
         """Returns the status and the body of a response."""
@@ -79,16 +80,16 @@
         # The kernel ends the connections of a killed process without a reset.
         data = response_samples.until_close()[:-300]
         for idle_connections in (0, 2):
-            self.client = http_client.Client(1.0)
+            self.client = connection_pool.Client(1.0)
             process, address = self.start_process(data)
             for _ in range(idle_connections):
-                connection = http_client.open_connection(
+                connection = connection_pool.open_connection(
                     self.client, address, 1.0
                 )
-                http_client.return_idle(
+                connection_pool.return_idle(
                     self.client,
                     address,
-                    http_client.PooledConnection(connection),
+                    connection_pool.PooledConnection(connection),
                 )
             error = self.assertRaises(
                 http_client.ResponseLost, self.read, address, check_server=True
