Look at idle connections under the lock of their pool

The check of whether a server still runs looked at idle connections that another thread could take and close meanwhile. A closed socket has no descriptor to poll, and the ValueError would have ended the request as an unexpected error. A connection that this check opened no longer counts as one that has carried a request.

--- a/packages/relay/src/waxwinglever_relay/connection_pool.py
+++ b/packages/relay/src/waxwinglever_relay/connection_pool.py
@@ -109,12 +109,14 @@
     Attributes:
       connection: The connection.
       idle_since_s: When it became idle.
+      was_used: Whether a request was sent on it.
       request_ids: Ids of the requests that were sent on it, and when each of
         them can't be sent again, as its deadline has passed.
     """
 
     connection: framing_client.Connection
     idle_since_s: float = float("-inf")
+    was_used: bool = False
     request_ids: dict[str, float] = attrs.field(factory=dict)
 
 
@@ -184,10 +186,11 @@
     An idle connection that is still open shows that the server runs. Without
     one a connection is opened, which the next request uses.
     """
+    # Whoever takes a connection out of the pool may close it.
     with client.lock:
-        idle = list(client.idle_connections.get(address, ()))
-    if any(not is_readable(item.connection.sock) for item in idle):
-        return
+        for item in client.idle_connections.get(address, ()):
+            if not is_readable(item.connection.sock):
+                return
     timeout_s = min(client.connect_timeout_s, remaining_s(deadline_s))
     try:
         conn = open_connection(client, address, timeout_s)
--- a/packages/relay/src/waxwinglever_relay/http_client.py
+++ b/packages/relay/src/waxwinglever_relay/http_client.py
@@ -137,6 +137,9 @@
       single_use: Whether to use a connection that carries nothing else. Without
         an id in it, a second copy of another response would be taken for the
         response.
+      check_server: Whether a response that ends with its connection is complete
+        only if the server still accepts connections. One that is killed ends
+        its connections in the middle of a response, without a reset.
       framed: Whether the server marks the end of each response by a length or
         chunks. One that ends with its connection counts as incomplete then, as
         it can't be told from one that was cut.
@@ -152,7 +155,6 @@
     pooled = None
     if not single_use:
         pooled = connection_pool.take_idle(client, address, request_id)
-    is_reused = pooled is not None
     if pooled is None and connect_timeout_s is None:
         timeout_s = min(
             client.connect_timeout_s, connection_pool.remaining_s(deadline_s)
@@ -166,6 +168,8 @@
             connection_pool.open_connection(client, address, connect_timeout_s)
         )
         deadline_s += clock.boottime_s() - started_s
+    is_reused = pooled.was_used
+    pooled.was_used = True
     if request_id:
         pooled.request_ids[request_id] = deadline_s
     conn = pooled.connection
