--- a/packages/daemon/src/waxwinglever_daemon/http_server.py
+++ b/packages/daemon/src/waxwinglever_daemon/http_server.py
@@ -69,7 +69,11 @@
     def respond(self):
         body = bodies.find_body(self)
         if body.broken:
-            self.simple_response("400 Bad Request", "The length is not clear.")
+            self.simple_response(
+                "400 Bad Request",
+                "The end of the body is not clear; send either Content-Length"
+                " or valid chunks.",
+            )
             bodies.linger(self.conn)
             self.close_connection = True
             return
--- a/packages/hops/src/waxwinglever_hops/heads.py
+++ b/packages/hops/src/waxwinglever_hops/heads.py
@@ -52,12 +52,12 @@
         while (line := rfile.readline()) != CRLF:
             match = heads.HEADER.fullmatch(line.removesuffix(CRLF))
             if match is None or not line.endswith(CRLF):
-                raise ValueError("A line of the head is not a header.")
+                raise ValueError("A line of the head is not NAME: VALUE.")
             name = match[1].title()
             value = match[2].rstrip(b" \t")
             if name in headers:
                 if name in self.single:
-                    raise ValueError("A header that decides is repeated.")
+                    raise ValueError("A header is repeated; send it once.")
                 separator = b"; " if name == b"Cookie" else b", "
                 value = headers[name] + separator + value
             headers[name] = value
