Wait longer for a reset behind the end of an unframed response

The part of the body is allowed by no rule; the reset came more than the wait of 20 ms behind the end, as the threads of server and proxy share busy processors.

The wait is 100 ms now.

--- a/packages/framing/src/waxwinglever_framing/bodies.py
+++ b/packages/framing/src/waxwinglever_framing/bodies.py
@@ -30,7 +30,7 @@
 MAX_SECOND_HEAD_BYTES = 330
 # A server that breaks off a response may end the connection before it resets
 # it. Both arrive within this time, unless the server is held up in between.
-RESET_WAIT_S = 0.02
+RESET_WAIT_S = 0.1
 
 
 @attrs.define(eq=False)
