Tell how old a node's configuration is

A copy is confirmed up to a time if it had all changes of the store then. The answers of the store and of readers say so, and readers answer as soon as their own copy of the operators' records is confirmed. Daemons also name the newest configuration that they have heard of, with each forwarded request and its response; configuration-announced is logged where one is heard of first. Nothing acts on this yet.

--- a/packages/assignment/src/waxwinglever_assignment/readers.py
+++ b/packages/assignment/src/waxwinglever_assignment/readers.py
@@ -47,6 +47,9 @@
 # this time. If it refused its followers at once, all of them turned to the
 # store in the moment in which the store cut all watches.
 REFUSAL_DELAY_S = 0.2
+# The store is watched in such a way that a copy that announces confirmations is
+# confirmed at least this often.
+MAX_UNCONFIRMED_S = 1.2
 # Readers that are asked, without a wait, after the first one has failed. More
 # would delay the change by FOLLOWER_MARGIN_S each when all of them are lost.
 MAX_REPEATS = 1
@@ -217,12 +220,50 @@
                 # The store may have a longer history than the reader.
                 pass
         log_reader_change(follower, "")
+        wait_s = bound_wait(replica, wait_s)
         mark_watching(follower, replica, wait_s)
-        return follower.store.watch(prefix, version, wait_s, era)
+        return watch_store(
+            follower, follower.store.watch, prefix, version, wait_s, era
+        )
 
     return watch_once
 
 
+def bound_wait(replica: replicas.Replica, wait_s: float) -> float:
+    """Returns how long to watch the store, if its copy announces confirmations.
+
+    A watch that returns a change shows no more than that the copy was current
+    when the watch began. The next one is shorter, so that the copy is confirmed
+    in time even if there are changes now and then.
+    """
+    if not replica.announces:
+        return wait_s
+    left_s = replica.confirmed_s + MAX_UNCONFIRMED_S - replica.now()
+    return min(wait_s, max(0.0, left_s))
+
+
+def watch_store(
+    follower: FollowerState,
+    call: Callable[[str, int, float, int], leased.Changes],
+    prefix: str,
+    version: int,
+    wait_s: float,
+    era: int,
+) -> leased.Changes:
+    """Watches the store by one of its calls.
+
+    Returns:
+      The changes, with the time at which the copy had all of them.
+    """
+    asked_s = follower.now()
+    found = call(prefix, version, wait_s, era)
+    # Without a change, the store has answered when the wait was over.
+    waited = not found.changes and follower.now() - asked_s >= wait_s
+    return attrs.evolve(
+        found, confirmed_s=asked_s + (wait_s if waited else 0.0)
+    )
+
+
 def follow(
     follower: FollowerState,
     replica: replicas.Replica,
@@ -317,7 +358,14 @@
     """
     try:
         try:
-            return follower.store.watch_small(prefix, version, wait_s, era)
+            return watch_store(
+                follower,
+                follower.store.watch_small,
+                prefix,
+                version,
+                wait_s,
+                era,
+            )
         except leased.AnswerTooLarge as error:
             follower.log(
                 "store-answer-too-large",
@@ -329,7 +377,9 @@
             found = ask_readers(follower, prefix, version, era, 0.0)
             if found is not None and found.changes:
                 return found
-            return follower.store.watch(prefix, version, 0.0, era)
+            return watch_store(
+                follower, follower.store.watch, prefix, version, 0.0, era
+            )
     except exceptions.StoreUnavailable:
         # All paths may fail alike because the link of this node is full.
         follower.avoid_until_s.clear()
@@ -400,6 +450,7 @@
     arrived_s = replica.now()
     end_s = arrived_s + min(wait_s, FOLLOWER_WAIT_S)
     last_current_s = arrived_s
+    known_s = replica.confirmed_s
     while True:
         if replica.store.era() != replica.era:
             raise leased.HistoryCompacted(
@@ -417,7 +468,7 @@
                     max(0.0, replica.current_until_s - arrived_s), 3
                 ),
             )
-        if found.changes:
+        if found.changes or (replica.announces and found.confirmed_s > known_s):
             return found
         now_s = replica.now()
         if is_current(replica):
--- a/packages/assignment/src/waxwinglever_assignment/replicas.py
+++ b/packages/assignment/src/waxwinglever_assignment/replicas.py
@@ -61,6 +61,11 @@
         watch the store itself.
       watches_store: Whether `current_until_s` comes from a watch of the store
         and not from another node.
+      changed_s: When `items` changed last.
+      confirmed_s: When the copy was last known to have all changes of the
+        store.
+      announces: Whether followers get an answer as soon as the copy is
+        confirmed anew, and not only after a change.
       history: The latest changes in order.
       history_bytes: Size of their values.
       history_start: All changes after this version are in `history`.
@@ -84,6 +89,9 @@
     disconnected: bool = False
     current_until_s: float = float("-inf")
     watches_store: bool = False
+    changed_s: float = 0.0
+    confirmed_s: float = float("-inf")
+    announces: bool = False
     history: collections.deque[leased.Change] = attrs.Factory(collections.deque)
     history_bytes: int = 0
     history_start: int = 0
@@ -144,10 +152,12 @@
 
 def read_prefix(replica: Replica) -> None:
     """Reads the whole prefix; raises StoreUnavailable."""
+    asked_s = replica.now()
     listing = replica.store.list_prefix(replica.prefix)
     mark_connected(replica)
     if replica.synced and listing.era != replica.era:
         replace_items(replica, listing)
+        confirm(replica, asked_s)
         return
     items = {}
     for item in listing.items:
@@ -165,6 +175,7 @@
         replica.era_seen_s = replica.now()
         replica.history_start = version
     set_items(replica, items, changes, version)
+    confirm(replica, asked_s)
 
 
 def replace_items(replica: Replica, listing: leased.Listing) -> None:
@@ -229,15 +240,27 @@
     version = max(replica.version, changes.version)
     if not changes.changes:
         replica.version = version
-        return False
-    items = dict(replica.items)
-    for change in changes.changes:
-        if change.item is None:
-            items.pop(change.key, None)
-        else:
-            items[change.key] = change.item
-    set_items(replica, items, changes.changes, version)
-    return True
+    else:
+        items = dict(replica.items)
+        for change in changes.changes:
+            if change.item is None:
+                items.pop(change.key, None)
+            else:
+                items[change.key] = change.item
+        set_items(replica, items, changes.changes, version)
+    if changes.confirmed_s is not None:
+        confirm(replica, changes.confirmed_s)
+    return bool(changes.changes)
+
+
+def confirm(replica: Replica, confirmed_s: float) -> None:
+    """Records that the copy had all changes of the store at a time."""
+    confirmed_s = min(confirmed_s, replica.now())
+    with replica.condition:
+        if confirmed_s > replica.confirmed_s:
+            replica.confirmed_s = confirmed_s
+            if replica.announces:
+                replica.condition.notify_all()
 
 
 def set_items(
@@ -260,6 +283,7 @@
             replica.history_start = oldest.version
             replica.history_bytes -= value_bytes(oldest)
         replica.revision += 1
+        replica.changed_s = replica.now()
         replica.synced = True
         replica.condition.notify_all()
 
@@ -278,19 +302,23 @@
       replica: The copy.
       version: Store version that the follower has.
       era: Era of the store that this version belongs to.
-      wait_s: How long to wait for a change.
+      wait_s: How long to wait for a change, or for a confirmation if the copy
+        announces them.
 
     Returns:
-      The changes, none if there were none in time.
+      The changes, none if there were none in time, and when the copy was last
+      confirmed.
 
     Raises:
       HistoryCompacted: Some of these changes are no longer in the history, or
         this copy is in another era.
     """
     with replica.condition:
+        known_s = replica.confirmed_s
         replica.condition.wait_for(
             lambda: replica.era != era
-            or (replica.history and replica.history[-1].version > version),
+            or (replica.history and replica.history[-1].version > version)
+            or (replica.announces and replica.confirmed_s > known_s),
             wait_s,
         )
         if (
@@ -303,7 +331,11 @@
                 "ask the store",
             )
         found = tuple(c for c in replica.history if c.version > version)
-        return leased.Changes(found, max(version, replica.version))
+        return leased.Changes(
+            found,
+            max(version, replica.version),
+            confirmed_s=replica.confirmed_s,
+        )
 
 
 def snapshot(
--- /dev/null
+++ b/packages/assignment/tests/test_freshness.py
@@ -0,0 +1,134 @@
+"""Tests of waxwinglever_assignment.freshness."""
+
+import types
+
+import pytest
+import testtools
+
+from waxwinglever_assignment import freshness
+from waxwinglever_assignment import replicas
+from waxwinglever_standins import memory_leased_store
+from waxwinglever_store import leased
+
+BOUND_S = 2.0
+KEY = "routing/1"
+
+
+@pytest.mark.usefixtures("build")
+class FreshnessTest(testtools.TestCase):
+    """Guards against records that are acted on after they were replaced."""
+
+    # Set by the fixture.
+    build: types.SimpleNamespace = types.SimpleNamespace()
+
+    def setUp(self):
+        super().setUp()
+        self.clock = self.build.Clock()
+        self.memory_store = memory_leased_store.MemoryLeasedStore(
+            now=self.clock
+        )
+        self.store = memory_leased_store.connect(self.memory_store)
+        self.store.commit({}, [leased.Write(KEY, b"1")], [], 1)
+        self.events = []
+
+    def node(self) -> freshness.Freshness:
+        """Returns the state of a node that has read and applied the records."""
+        replica = replicas.Replica(
+            self.store, "routing/", self.build.ignore, now=self.clock
+        )
+        replicas.read_prefix(replica)
+        state = freshness.Freshness(
+            replica,
+            BOUND_S,
+            lambda event, **_: self.events.append(event),
+            self.clock,
+        )
+        self.apply(state)
+        return state
+
+    def apply(self, state: freshness.Freshness) -> None:
+        """Records that a node acts on its copy."""
+        items, era, revision = replicas.snapshot(state.replica)
+        freshness.record_applied(
+            state, items, era, revision, int(items[KEY].value)
+        )
+
+    def write(self, version: int) -> None:
+        """Writes the next configuration."""
+        value = str(version).encode()
+        self.store.commit({}, [leased.Write(KEY, value)], [], 1)
+
+    def exchange(
+        self, sender: freshness.Freshness, receiver: freshness.Freshness
+    ) -> None:
+        """Lets one node answer a request of another, on one clock."""
+        asked_s = self.clock.now_s
+        freshness.hear(
+            receiver, freshness.make_statement(sender, asked_s), asked_s
+        )
+
+    def test_copy_is_acted_on_for_the_set_time_after_its_confirmation(self):
+        state = self.node()
+        self.clock.now_s += BOUND_S
+        self.assertTrue(freshness.is_current(state))
+        self.clock.now_s += 0.01
+        self.assertFalse(freshness.is_current(state))
+
+    def test_copy_that_is_not_applied_yet_confirms_nothing(self):
+        # Decoding a large configuration takes a part of a second.
+        state = self.node()
+        self.clock.now_s += BOUND_S
+        self.write(2)
+        replicas.read_prefix(state.replica)
+        self.clock.now_s += 0.01
+        self.assertFalse(freshness.is_current(state))
+        self.apply(state)
+        self.assertTrue(freshness.is_current(state))
+
+    def test_statement_confirms_equal_records_only(self):
+        ahead, behind, equal = self.node(), self.node(), self.node()
+        self.clock.now_s += BOUND_S
+        self.write(2)
+        for state in (ahead, equal):
+            replicas.read_prefix(state.replica)
+            self.apply(state)
+        self.clock.now_s += BOUND_S
+        replicas.read_prefix(ahead.replica)
+        self.apply(ahead)
+        for state in (behind, equal):
+            self.exchange(ahead, state)
+        self.clock.now_s += 1.0
+        self.assertFalse(freshness.is_current(behind))
+        self.assertTrue(freshness.is_current(equal))
+
+    def test_statement_about_earlier_records_is_forgotten(self):
+        # It would confirm the next records from before they were written.
+        first, second = self.node(), self.node()
+        self.exchange(first, second)
+        self.write(2)
+        replicas.read_prefix(second.replica)
+        self.apply(second)
+        self.assertEqual(float("-inf"), second.heard_confirmed_s)
+
+    def test_statement_from_the_future_confirms_no_more_than_now(self):
+        state = self.node()
+        freshness.hear(
+            state, freshness.Statement(state.state, 1, 1e9), self.clock.now_s
+        )
+        self.assertEqual(self.clock.now_s, freshness.confirmed_s(state))
+
+    def test_number_of_a_newer_configuration_travels_ahead_of_it(self):
+        first, second, third = self.node(), self.node(), self.node()
+        self.write(2)
+        replicas.read_prefix(first.replica)
+        self.apply(first)
+        self.exchange(first, second)
+        self.exchange(second, third)
+        self.assertEqual(2, third.newest_version)
+        self.assertEqual(["configuration-announced"] * 2, self.events)
+
+    def test_records_of_another_era_are_other_records(self):
+        items = replicas.snapshot(self.node().replica)[0]
+        self.assertNotEqual(
+            freshness.name_state(items, 1), freshness.name_state(items, 2)
+        )
--- a/packages/hops/src/waxwinglever_hops/control.py
+++ b/packages/hops/src/waxwinglever_hops/control.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import math
 import urllib.parse
 import zlib
 from collections.abc import Callable, Mapping
@@ -15,6 +16,7 @@
 
 from waxwinglever_admission import gate as gates
 from waxwinglever_assignment import fleet_view
+from waxwinglever_assignment import freshness as freshness_module
 from waxwinglever_assignment import grants
 from waxwinglever_assignment import loads
 from waxwinglever_assignment import promises
@@ -35,6 +37,7 @@
 CLEARANCE_PATH = PATH + "word/"
 ERA_CLEARANCE_PATH = PATH + "eras/"
 CHANGES_PATH = PATH + "changes/"
+STATEMENT_PATH = PATH + "freshness"
 # Ends the path of a call for store changes that returns at once. Earlier
 # versions answer it with 404.
 NO_WAIT = "?wait=0"
@@ -49,6 +52,8 @@
 MIN_COMPRESSED_BYTES = 16_384
 COMPRESSION_LEVEL = 1
 COMPRESSED_ENCODING = "deflate"
+# Statements are asked for when a link may be full; see CHANGES_STALL_S.
+STATEMENT_TIMEOUT_S = 0.6
 # Short, as callers soon repeat a call that got no response.
 CALL_TIMEOUT_S = 0.3
 # How long a response with store changes may pause once it has begun. Packets
@@ -71,12 +76,14 @@
       replicas: Copies of the store by prefix, for nodes that get its changes
         from this one.
       log: Called with an event name and fields.
+      freshness: What this node knows of the age of its configuration.
     """
 
     local_delivery: delivery.LocalDelivery
     promises: promises.VoterState
     replicas: Mapping[str, replicas.Replica]
     log: Callable[..., None]
+    freshness: freshness_module.Freshness | None = None
 
 
 def handle(control: ControlEndpoint, target: str) -> server.HttpResponse:
@@ -98,6 +105,11 @@
         return server.HttpResponse(200, (), json.dumps(left_s).encode())
     if target.startswith(CHANGES_PATH):
         return handle_changes(control, target.removeprefix(CHANGES_PATH))
+    if target == STATEMENT_PATH and control.freshness is not None:
+        statement = freshness_module.make_statement(
+            control.freshness, clock.boottime_s()
+        )
+        return server.HttpResponse(200, (), msgspec.json.encode(statement))
     if target == LOAD_PATH:
         backend = control.local_delivery.backend
         notice = backend.notice
@@ -141,6 +153,7 @@
     era, _, rest = query.partition("/")
     version, _, prefix = rest.partition("/")
     replica = control.replicas.get(urllib.parse.unquote(prefix))
+    arrived_s = clock.boottime_s()
     if replica is None or not (era.isdigit() and version.isdigit()):
         return server.HttpResponse(404, (), b"")
     try:
@@ -153,7 +166,7 @@
         return server.HttpResponse(
             NOT_CURRENT_STATUS, (), error.message.encode()
         )
-    return encode_changes(latest_changes(changes))
+    return encode_changes(latest_changes(changes), arrived_s)
 
 
 def latest_changes(changes: leased.Changes) -> leased.Changes:
@@ -171,9 +184,19 @@
     )
 
 
-def encode_changes(changes: leased.Changes) -> server.HttpResponse:
-    """Returns the response with store changes, compressed if it is large."""
-    body = msgspec.json.encode(changes)
+def encode_changes(
+    changes: leased.Changes, arrived_s: float
+) -> server.HttpResponse:
+    """Returns the response with store changes, compressed if it is large.
+
+    The time of the confirmation is sent relative to the arrival of the request,
+    as each VM has its own clock.
+
+    Args:
+      changes: The changes.
+      arrived_s: When the request arrived.
+    """
+    body = msgspec.json.encode(shift_confirmation(changes, -arrived_s))
     if len(body) < MIN_COMPRESSED_BYTES:
         return server.HttpResponse(200, (), body)
     return server.HttpResponse(
@@ -183,6 +206,17 @@
     )
 
 
+def shift_confirmation(
+    changes: leased.Changes, shift_s: float
+) -> leased.Changes:
+    """Returns changes with a time of their confirmation that is later."""
+    if changes.confirmed_s is None or math.isinf(changes.confirmed_s):
+        return attrs.evolve(changes, confirmed_s=None)
+    return attrs.evolve(
+        changes, confirmed_s=round(changes.confirmed_s + shift_s, 3)
+    )
+
+
 def decode_changes(response: http_client.Response) -> leased.Changes:
     """Returns the store changes in a response of `encode_changes`.
 
@@ -217,6 +251,9 @@
         wait_s: float,
     ) -> leased.Changes:
         path = f"{CHANGES_PATH}{era}/{version}/{urllib.parse.quote(prefix)}"
+        # The request arrives later, so the copy was confirmed no earlier than
+        # this shows.
+        asked_s = clock.boottime_s()
         response = control_request(
             client,
             reader.address,
@@ -231,7 +268,7 @@
             )
         try:
             if response.status == 200:
-                return decode_changes(response)
+                return shift_confirmation(decode_changes(response), asked_s)
             reason = response.body.decode("utf-8", "replace")
         except (msgspec.MsgspecError, zlib.error) as error:
             reason = str(error)
@@ -300,6 +337,34 @@
         raise exceptions.PeerUnavailable(error.message, error.remedy) from error
 
 
+def statement_client(
+    client: connection_pool.Client,
+) -> Callable[[fleet_view.Member], freshness_module.Statement]:
+    """Returns a function that requests the statement of another daemon.
+
+    The function raises PeerUnavailable if there is no answer. A daemon of an
+    earlier version answers without a statement; it confirms nothing.
+    """
+
+    def fetch_statement(
+        member: fleet_view.Member,
+    ) -> freshness_module.Statement:
+        response = control_request(
+            client,
+            member.address,
+            STATEMENT_PATH,
+            STATEMENT_TIMEOUT_S,
+            connect_timeout_s=CHANGES_CONNECT_TIMEOUT_S,
+        )
+        if response.status == 404:
+            return freshness_module.Statement("", 0)
+        return decode_answer(
+            response.body, member.name, freshness_module.Statement
+        )
+
+    return fetch_statement
+
+
 def load_client(
     client: connection_pool.Client,
 ) -> Callable[[fleet_view.Member], loads.LoadReport]:
--- a/packages/hops/src/waxwinglever_hops/forwarding.py
+++ b/packages/hops/src/waxwinglever_hops/forwarding.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from waxwinglever_assignment import fleet_view
+from waxwinglever_assignment import freshness as freshness_module
 from waxwinglever_hops import control
 from waxwinglever_hops import server
 from waxwinglever_model import clock
@@ -19,6 +20,7 @@
 HOP_HEADER = "X-Hop"
 OUTCOME_HEADER = "x-hop-outcome"
 NOTICE_HEADER = "x-hop-notice"
+STATEMENT_HEADER = "x-hop-freshness"
 # Outcome of a request that the backend server has answered.
 OUTCOME_RAN = "ran"
 # Added to the deadline, as the owner daemon responds by the deadline and its
@@ -63,6 +65,8 @@
       known_chain: Its chain of crashes that the sender knows. Daemons of
         earlier versions send neither this nor `notice`.
       notice: What the sender last heard of the backend server, if anything.
+      newest_version: Number of the newest configuration that the sender has
+        heard of.
     """
 
     request_id: str
@@ -76,6 +80,7 @@
     keyed: bool
     known_chain: int = 0
     notice: messages.ServerNotice | None = None
+    newest_version: int = 0
 
 
 @attrs.frozen
@@ -98,6 +103,7 @@
 
 def make_forwarder(
     client: connection_pool.Client,
+    freshness: freshness_module.Freshness | None = None,
 ) -> Callable[
     [fleet_view.Member, messages.Request, messages.CallerConnection | None],
     messages.Response,
@@ -107,6 +113,10 @@
     The function returns that daemon's response or raises its refusal. It raises
     PeerUnavailable if nothing was sent, BadRequest if the request can't be
     encoded, and OutcomeUnknown if the response was lost.
+
+    Args:
+      client: The connection pool.
+      freshness: Gets the statements of other daemons, if given.
     """
 
     def send(
@@ -127,6 +137,7 @@
             request.keyed,
             request.known_chain,
             request.notice,
+            freshness.newest_version if freshness else 0,
         )
         headers = dict(request.headers)
         headers[HOP_HEADER] = msgspec.json.encode(hop).decode()
@@ -157,11 +168,30 @@
                 f"the answer of {member.name} was lost: {error.message}",
                 "find out whether the request took effect",
             ) from error
+        if freshness is not None:
+            hear_statement(freshness, response, now_s)
         return decode_response(response)
 
     return send
 
 
+def hear_statement(
+    freshness: freshness_module.Freshness,
+    response: http_client.Response,
+    asked_s: float,
+) -> None:
+    """Takes the statement in the response of another daemon into account."""
+    text = response.header(STATEMENT_HEADER)
+    if text is None:
+        return
+    try:
+        statement = msgspec.json.decode(text, type=freshness_module.Statement)
+    except msgspec.MsgspecError as error:
+        freshness.log("statement-unusable", error=str(error))
+        return
+    freshness_module.hear(freshness, statement, asked_s)
+
+
 def decode_response(response: http_client.Response) -> messages.Response:
     """Returns the response of another daemon.
 
@@ -217,6 +247,7 @@
     {
         OUTCOME_HEADER,
         NOTICE_HEADER,
+        STATEMENT_HEADER,
         "date",
         "server",
         "content-length",
@@ -240,6 +271,8 @@
       refuses_requests: Whether new requests are refused.
       in_flight: The forwarded requests whose response is not written yet.
       latest_deadline_s: Requests get no later deadline than this.
+      freshness: What this node knows of the age of its configuration, if it
+        tells others.
     """
 
     local_delivery: delivery.LocalDelivery
@@ -250,6 +283,7 @@
     refuses_requests: bool = False
     in_flight: server.InFlight = attrs.Factory(server.InFlight)
     latest_deadline_s: float = float("inf")
+    freshness: freshness_module.Freshness | None = None
 
 
 def handle(
@@ -257,6 +291,27 @@
 ) -> server.HttpResponse:
     """Handles a forwarded request or another call of a daemon.
 
+    Raises:
+      CloseWithoutResponse: The caller disconnected, or the hop header is
+        invalid.
+      CallerDisconnected: The connection ended before the body did.
+    """
+    arrived_s = clock.boottime_s()
+    response = handle_call(endpoint, incoming)
+    if endpoint.freshness is None or HOP_HEADER not in incoming.headers:
+        return response
+    statement = freshness_module.make_statement(endpoint.freshness, arrived_s)
+    text = msgspec.json.encode(statement).decode()
+    return attrs.evolve(
+        response, headers=(*response.headers, (STATEMENT_HEADER, text))
+    )
+
+
+def handle_call(
+    endpoint: PeerEndpoint, incoming: server.HttpRequest
+) -> server.HttpResponse:
+    """Handles a forwarded request or another call; see handle.
+
     Raises:
       CloseWithoutResponse: The caller disconnected, or the hop header is
         invalid.
@@ -267,7 +322,7 @@
     if incoming.target.startswith(control.PATH):
         return control.handle(endpoint.control, incoming.target)
     server.track(endpoint.in_flight, incoming)
-    request = decode_request(incoming, endpoint.latest_deadline_s)
+    request = decode_request(endpoint, incoming)
     began_s = clock.boottime_s()
     try:
         if endpoint.refuses_requests:
@@ -286,7 +341,8 @@
     headers = tuple(
         pair
         for pair in response.headers
-        if pair[0].lower() not in (OUTCOME_HEADER, NOTICE_HEADER)
+        if pair[0].lower()
+        not in (OUTCOME_HEADER, NOTICE_HEADER, STATEMENT_HEADER)
     )
     headers += ((OUTCOME_HEADER, OUTCOME_RAN),)
     if response.notice is not None:
@@ -320,14 +376,10 @@
 
 
 def decode_request(
-    incoming: server.HttpRequest, latest_deadline_s: float
+    endpoint: PeerEndpoint, incoming: server.HttpRequest
 ) -> messages.Request:
     """Returns the request that another daemon forwarded.
 
-    Args:
-      incoming: The request as received.
-      latest_deadline_s: The request gets no later deadline than this.
-
     Raises:
       CloseWithoutResponse: The hop header is missing or invalid.
       CallerDisconnected: The connection ended before the body did.
@@ -337,6 +389,8 @@
         hop = msgspec.json.decode(headers.pop(HOP_HEADER, ""), type=Hop)
     except msgspec.MsgspecError as error:
         raise server.CloseWithoutResponse from error
+    if endpoint.freshness is not None:
+        freshness_module.hear_version(endpoint.freshness, hop.newest_version)
     now_s = clock.boottime_s()
     dropped = ("Content-Length", "Connection", "Transfer-Encoding")
     return messages.Request(
@@ -353,7 +407,7 @@
         shard=hop.shard,
         caller=hop.caller,
         latency_target_s=now_s + hop.target_s,
-        deadline_s=min(now_s + hop.left_s, latest_deadline_s),
+        deadline_s=min(now_s + hop.left_s, endpoint.latest_deadline_s),
         keyed=hop.keyed,
         known_chain=hop.known_chain,
         notice=hop.notice,
--- a/packages/hops/tests/test_control.py
+++ b/packages/hops/tests/test_control.py
@@ -88,7 +88,7 @@
 
     def send(self, changes: leased.Changes) -> http_client.Response:
         """Returns the response with changes as its receiver reads it."""
-        response = control.encode_changes(changes)
+        response = control.encode_changes(changes, 0.0)
         headers = tuple((n.lower(), v) for n, v in response.headers)
         return http_client.Response(response.status, headers, response.body)
 
@@ -260,7 +260,7 @@
     @hypothesis.given(strategies.integers(0), strategies.integers(0, 255))
     def test_spoiled_changes_raise_peer_unavailable_only(self, at, value):
         for changes in (make_changes(b"x"), make_changes(make_config(400))):
-            sent = control.encode_changes(changes)
+            sent = control.encode_changes(changes, 0.0)
             headers = tuple((n.lower(), v) for n, v in sent.headers)
             for cut in (False, True):
                 body = bytearray(sent.body)
--- a/packages/store/src/waxwinglever_store/leased.py
+++ b/packages/store/src/waxwinglever_store/leased.py
@@ -113,11 +113,14 @@
       current_s: If another node that watches the store sent the changes: for
         how long after the arrival of the request its copy is known to be
         current. Otherwise 0.
+      confirmed_s: When whoever sent them was last known to have all changes of
+        the store, on the clock of this node; None if it is unknown.
     """
 
     changes: tuple[Change, ...]
     version: int
     current_s: float = 0.0
+    confirmed_s: float | None = None
 
 
 @attrs.frozen
