Route only by a configuration that was confirmed in time

Cause: a node acted on its configuration for as long as it had no newer one. On a link that is full of uploads the newer one takes longer than any fixed wait, and nothing told the node that it was late.

A node now acts on its copy of the operators' records for the set time after the copy was confirmed (config_apply_ms less 0.1 s, from the platform). Confirmations come with the polls, with each forwarded request's response, and by a call of a few bytes to three daemons when none came for 0.65 of the time. A node without one hands a request, not yet routed, to a daemon that knows, two at most, or refuses it with 503 and Retry-After. If others can't confirm their copies either, the store is away, and all go on.

--- a/packages/assignment/src/waxwinglever_assignment/freshness.py
+++ b/packages/assignment/src/waxwinglever_assignment/freshness.py
@@ -9,19 +9,35 @@
 
 Confirmations come with each answer of a reader or the store, and as statements
 with the answers of other daemons. A statement is a few bytes, so it arrives
-where a configuration doesn't.
+where a configuration doesn't. While no node can confirm its copy, as the store
+is away, all go on with what they have.
 """
 
+import random
 import threading
 import zlib
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 
 import attrs
 
+from waxwinglever_assignment import fleet_view
 from waxwinglever_assignment import replicas
 from waxwinglever_model import clock
+from waxwinglever_model import exceptions
 from waxwinglever_store import leased
 
+# Fraction of the set time after which a node asks others for statements. The
+# watches of a node with an idle link confirm its copy once a second.
+ASK_SHARE = 0.65
+# How often the age of the confirmation is checked.
+CHECK_S = 0.1
+ASKED_AT_A_TIME = 3
+# Pause after statements that didn't confirm the copy.
+REPEAT_S = 0.4
+# A node goes on for this long after others have said that they can't confirm
+# their copies either, counted from its question.
+EXCUSE_S = 2.0
+
 
 @attrs.frozen
 class Statement:
@@ -54,6 +70,9 @@
       newest_version: Number of the newest configuration heard of.
       own_confirmed_s: When the copy was last confirmed while it was applied.
       heard_confirmed_s: The same by the statements of other daemons.
+      excused_until_s: Until when the records may be acted on without a
+        confirmation.
+      informed_s: When another daemon last knew more than this one, by its name.
       lock: Guards the fields above.
     """
 
@@ -67,6 +86,8 @@
     newest_version: int = 0
     own_confirmed_s: float = float("-inf")
     heard_confirmed_s: float = float("-inf")
+    excused_until_s: float = float("-inf")
+    informed_s: dict[str, float] = attrs.Factory(dict)
     lock: threading.Lock = attrs.Factory(threading.Lock)
 
 
@@ -114,7 +135,11 @@
 
 def is_current(freshness: Freshness) -> bool:
     """Returns whether the applied records may be acted on."""
-    return freshness.now() - confirmed_s(freshness) <= freshness.bound_s
+    now_s = freshness.now()
+    return (
+        now_s - confirmed_s(freshness) <= freshness.bound_s
+        or now_s < freshness.excused_until_s
+    )
 
 
 def make_statement(freshness: Freshness, arrived_s: float) -> Statement:
@@ -158,3 +183,83 @@
     freshness.log(
         "configuration-announced", version=version, active=freshness.version
     )
+
+
+def run(
+    freshness: Freshness,
+    sources: Callable[[], Sequence[fleet_view.Member]],
+    ask: Callable[[fleet_view.Member], Statement],
+    run_all: Callable[..., object],
+    stopping: threading.Event,
+) -> None:
+    """Asks other daemons whenever no confirmation comes by itself.
+
+    Args:
+      freshness: The state.
+      sources: Returns the daemons that are likely to know, except this one;
+        none if this node is alone.
+      ask: Returns the statement of a daemon or raises PeerUnavailable.
+      run_all: Calls a function with each element, in parallel.
+      stopping: Ends the task when it is set.
+    """
+    while not stopping.wait(CHECK_S):
+        if is_recent(freshness, confirmed_s(freshness)):
+            continue
+        members = order_sources(freshness, sources())[:ASKED_AT_A_TIME]
+        ask_all(freshness, members, ask, run_all)
+        if not is_recent(freshness, confirmed_s(freshness)):
+            stopping.wait(REPEAT_S)
+
+
+def is_recent(freshness: Freshness, time_s: float) -> bool:
+    """Returns whether a confirmation is so recent that none is asked for."""
+    return freshness.now() - time_s < ASK_SHARE * freshness.bound_s
+
+
+def order_sources(
+    freshness: Freshness, members: Sequence[fleet_view.Member]
+) -> list[fleet_view.Member]:
+    """Returns daemons to ask, those that knew something last time first."""
+    return sorted(
+        random.sample(members, len(members)),
+        key=lambda member: -freshness.informed_s.get(member.name, 0.0),
+    )
+
+
+def ask_all(
+    freshness: Freshness,
+    members: Sequence[fleet_view.Member],
+    ask: Callable[[fleet_view.Member], Statement],
+    run_all: Callable[..., object],
+) -> None:
+    """Asks daemons for their statements; see run.
+
+    A daemon that can't confirm its own copy either, and has heard of no newer
+    configuration, excuses this node, unless another one can: then the store is
+    away for all of them. Without any answer the link of this node is the likely
+    reason, and it isn't excused.
+    """
+    asked_s = freshness.now()
+
+    def ask_one(member: fleet_view.Member) -> bool:
+        """Returns whether the daemon knows more than this node."""
+        try:
+            statement = ask(member)
+        except exceptions.PeerUnavailable:
+            return False
+        hear(freshness, statement, asked_s)
+        with freshness.lock:
+            is_behind = freshness.newest_version > freshness.version
+            if is_behind or (
+                statement.confirmed_in_s is not None
+                and is_recent(freshness, asked_s + statement.confirmed_in_s)
+            ):
+                freshness.informed_s[member.name] = asked_s
+                return True
+            freshness.excused_until_s = asked_s + EXCUSE_S
+            return False
+
+    if not members:
+        freshness.excused_until_s = asked_s + EXCUSE_S
+    elif any(list(run_all(ask_one, members))):
+        freshness.excused_until_s = float("-inf")
--- a/packages/assignment/src/waxwinglever_assignment/readers.py
+++ b/packages/assignment/src/waxwinglever_assignment/readers.py
@@ -183,6 +183,24 @@
     return found
 
 
+def informed_nodes(follower: FollowerState) -> list[fleet_view.Member]:
+    """Returns the other nodes that hear of a change first.
+
+    These are the watchers and the readers of this zone.
+    """
+    members = fleet_view.list_members(follower.fleet)
+    planner = fleet_view.planner_incarnation(follower.fleet)
+    found = {
+        member.name: member
+        for member in (
+            *zone_readers(members, follower.zone),
+            *watchers(members, planner),
+        )
+        if member.name != follower.name
+    }
+    return list(found.values())
+
+
 def choose_reader(follower: FollowerState) -> fleet_view.Member | None:
     """Returns the reader to ask, or None to watch the store."""
     now_s = follower.now()
--- a/packages/assignment/tests/test_freshness.py
+++ b/packages/assignment/tests/test_freshness.py
@@ -7,6 +7,7 @@
 
 from waxwinglever_assignment import freshness
 from waxwinglever_assignment import replicas
+from waxwinglever_model import exceptions
 from waxwinglever_standins import memory_leased_store
 from waxwinglever_store import leased
 
@@ -132,3 +133,61 @@
         self.assertNotEqual(
             freshness.name_state(items, 1), freshness.name_state(items, 2)
         )
+
+    def ask(
+        self,
+        state: freshness.Freshness,
+        answers: list[freshness.Statement | None],
+    ) -> None:
+        """Asks one daemon for each answer; None is one without an answer."""
+        members = [
+            self.build.member(f"n{number}") for number in range(len(answers))
+        ]
+        by_name = dict(zip((m.name for m in members), answers))
+
+        def answer(member) -> freshness.Statement:
+            if by_name[member.name] is None:
+                raise exceptions.PeerUnavailable("no answer", "none")
+            return by_name[member.name]
+
+        freshness.ask_all(state, members, answer, map)
+
+    def is_current_after(self, *answers: freshness.Statement | None) -> bool:
+        """Returns whether an unconfirmed node is current after answers."""
+        state = self.node()
+        self.clock.now_s += 2 * BOUND_S
+        self.ask(state, list(answers))
+        return freshness.is_current(state)
+
+    def test_node_that_gets_no_answer_does_not_act(self):
+        # Its link is full, and others may have a newer configuration.
+        self.assertFalse(self.is_current_after(None, None, None))
+
+    def test_node_goes_on_while_nobody_can_confirm(self):
+        # The store is away: a stop would end the service everywhere.
+        old = freshness.Statement("1.0", 1, -3 * BOUND_S)
+        unknown = freshness.Statement("", 0)
+        self.assertTrue(self.is_current_after(old, None, None))
+        self.assertTrue(self.is_current_after(unknown, old, None))
+
+    def test_node_does_not_go_on_while_another_one_can_confirm(self):
+        old = freshness.Statement("1.0", 1, -3 * BOUND_S)
+        other = freshness.Statement("1.0", 1, -0.1)
+        self.assertFalse(self.is_current_after(old, other, None))
+        self.assertFalse(self.is_current_after(other, old, None))
+
+    def test_node_that_has_heard_of_a_newer_version_does_not_go_on(self):
+        newer = freshness.Statement("1.0", 2, -3 * BOUND_S)
+        old = freshness.Statement("1.0", 1, -3 * BOUND_S)
+        self.assertFalse(self.is_current_after(newer, old))
+        self.assertFalse(self.is_current_after(old, newer))
+
+    def test_node_that_is_alone_goes_on(self):
+        self.assertTrue(self.is_current_after())
+
+    def test_excuse_ends(self):
+        state = self.node()
+        self.clock.now_s += 2 * BOUND_S
+        self.ask(state, [freshness.Statement("", 0)])
+        self.clock.now_s += freshness.EXCUSE_S
+        self.assertFalse(freshness.is_current(state))
--- a/packages/hops/src/waxwinglever_hops/forwarding.py
+++ b/packages/hops/src/waxwinglever_hops/forwarding.py
@@ -37,7 +37,10 @@
         exceptions.RateLimited,
         exceptions.Draining,
         exceptions.BackendUnavailable,
+        exceptions.ConfigOutdated,
         exceptions.BadRequest,
+        exceptions.UnknownService,
+        exceptions.TooLarge,
         exceptions.OutcomeUnknown,
         exceptions.Quarantined,
         messages.ShedByBackend,
@@ -54,7 +57,8 @@
 
     Attributes:
       request_id: The caller's id of this attempt.
-      service: Service that should run it.
+      service: Service that should run it; '' if the receiver chooses the route.
+        Daemons of earlier versions refuse that, as they run no such service.
       route: Name of the route.
       repeatable: Whether it may run more than once.
       shard: Shard of a keyed service, or None.
@@ -273,6 +277,8 @@
       latest_deadline_s: Requests get no later deadline than this.
       freshness: What this node knows of the age of its configuration, if it
         tells others.
+      handle_unrouted: Chooses the route of a request and handles it; raises
+        Refusal and CallerDisconnected.
     """
 
     local_delivery: delivery.LocalDelivery
@@ -284,6 +290,13 @@
     in_flight: server.InFlight = attrs.Factory(server.InFlight)
     latest_deadline_s: float = float("inf")
     freshness: freshness_module.Freshness | None = None
+    handle_unrouted: (
+        Callable[
+            [messages.Request, messages.CallerConnection | None],
+            messages.Response,
+        ]
+        | None
+    ) = None
 
 
 def handle(
@@ -327,9 +340,12 @@
     try:
         if endpoint.refuses_requests:
             raise delivery.draining_error("this daemon is shutting down")
-        response = delivery.deliver(
-            endpoint.local_delivery, request, incoming.caller
-        )
+        if not request.service and endpoint.handle_unrouted is not None:
+            response = endpoint.handle_unrouted(request, incoming.caller)
+        else:
+            response = delivery.deliver(
+                endpoint.local_delivery, request, incoming.caller
+            )
     except messages.CallerDisconnected:
         log_delivery(endpoint, request, "caller-left", began_s)
         raise server.CloseWithoutResponse from None
@@ -411,6 +427,7 @@
         keyed=hop.keyed,
         known_chain=hop.known_chain,
         notice=hop.notice,
+        host=incoming.headers.get("Host", ""),
     )
 
 
--- a/packages/model/src/waxwinglever_model/exceptions.py
+++ b/packages/model/src/waxwinglever_model/exceptions.py
@@ -111,6 +111,12 @@
     kind = "backend-unavailable"
 
 
+class ConfigOutdated(NotExecuted):
+    """The configuration of the node may have been replaced."""
+
+    kind = "config-outdated"
+
+
 class TicketRequired(NotExecuted):
     """A request id came without a ticket, or with one not valid on this node.
 
--- a/packages/relay/src/waxwinglever_relay/messages.py
+++ b/packages/relay/src/waxwinglever_relay/messages.py
@@ -38,18 +38,20 @@
       target: Path and query as the caller sent them.
       headers: End-to-end headers for the backend server.
       body: The whole body.
-      service: Service that should run it.
+      service: Service that should run it; '' if no route is chosen yet.
       route: Name of the route; histograms and gate shares are kept by route.
       idempotent: Whether it may run more than once.
       shard: Shard of a keyed service, or None.
       caller: Service on whose VM the request originated.
-      latency_target_s: End of the target latency, on the boot clock.
+      latency_target_s: End of the target latency, on the boot clock. Without a
+        route, when the request arrived.
       deadline_s: When the response is due at the latest, on the boot clock.
       keyed: Whether the service is sharded by key.
       max_attempts: Maximum number of backend servers that it may be sent to.
       known_chain: Its chain of crashes, as far as its sender knows; see
         admission.quarantine.
       notice: What its sender last heard of the backend server, if anything.
+      host: Host that the caller has named, with its port if it has one.
     """
 
     request_id: str
@@ -68,6 +70,7 @@
     max_attempts: int = 1
     known_chain: int = 0
     notice: ServerNotice | None = None
+    host: str = ""
 
 
 @attrs.frozen
--- a/packages/relay/src/waxwinglever_relay/routes.py
+++ b/packages/relay/src/waxwinglever_relay/routes.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from waxwinglever_model import exceptions
+
 # Kinds of routes; only SAFE requests may be sent again after they may have run.
 SAFE = "safe"
 UNSAFE = "unsafe"
@@ -151,6 +153,30 @@
     return None
 
 
+def select_route(config: RoutingConfig, host: str, target: str) -> Route:
+    """Returns the route of a request.
+
+    Args:
+      config: The configuration.
+      host: Host that the caller has named, with or without a port.
+      target: Path and query.
+
+    Raises:
+      UnknownService: No route matches.
+    """
+    path = target.partition("?")[0]
+    name, _, port = host.lower().rpartition(":")
+    route = find_route(config, name or port, path) or find_route(
+        config, host.lower(), path
+    )
+    if route is None:
+        raise exceptions.UnknownService(
+            f"no route matches host {name or port!r} and this path",
+            "check the host and the path, or add a route",
+        )
+    return route
+
+
 def pick_service(active_config: ActiveConfig, route: Route) -> str:
     """Returns the next service of a route by smooth weighted round-robin.
 
