--- a/Makefile
+++ b/Makefile
@@ -42,7 +42,8 @@
 	$(PY) -m waxwinglever_bench.main soak --seed $(SEED) --minutes $(MINUTES)
 
 platform-soak: env
-	$(PY) -m waxwinglever_soak --seed $(SEED) $(if $(PLANNED),--planned)
+	$(PY) -m waxwinglever_soak --seed $(SEED) $(if $(PLANNED),--planned) \
+		$(if $(LINKS),--links)
 
 clean:
 	rm -rf build $(VENV)
