--- a/packages/assignment/src/waxwinglever_assignment/readers.py
+++ b/packages/assignment/src/waxwinglever_assignment/readers.py
@@ -34,8 +34,6 @@
 # Packets wait for over half a second on a link that is full of bodies.
 FOLLOWER_WAIT_S = 0.8
 FOLLOWER_MARGIN_S = 0.6
-# Most of the margin for a node that has got no answer from any side.
-MAX_MARGIN_S = 2.4
 # While a reader waits, it checks this often whether it is still current.
 CHECK_S = 0.2
 # A copy is current for this long beyond the wait of its watch of the store. The
@@ -73,14 +71,11 @@
       fleet: View of all members.
       store: The store, watched when there is no reader to ask.
       fetch_changes: Asks a reader for the changes of a prefix after a version
-        of an era, for which the reader may wait some seconds, with some more
-        for the connection and the response each; raises PeerUnavailable or
-        HistoryCompacted.
+        of an era, for which the reader may wait some seconds; raises
+        PeerUnavailable or HistoryCompacted.
       must_watch_store: Returns whether this node must watch the store itself.
       log: Called with an event name and fields.
       now: Returns the time in seconds.
-      margins_s: How long a reader has for the connection and the response, by
-        prefix; FOLLOWER_MARGIN_S if it is not given.
       avoid_until_s: When readers that failed may be asked again, by name.
       reader: Name of the reader that was asked last; '' for the store.
       order_cache: Members and incarnation of the planner, and the readers to
@@ -92,12 +87,11 @@
     fleet: fleet_view.FleetView
     store: leased.LeasedStoreClient
     fetch_changes: Callable[
-        [fleet_view.Member, str, int, int, float, float], leased.Changes
+        [fleet_view.Member, str, int, int, float], leased.Changes
     ]
     must_watch_store: Callable[[], bool]
     log: Callable[..., None]
     now: Callable[[], float] = clock.boottime_s
-    margins_s: dict[str, float] = attrs.Factory(dict)
     avoid_until_s: dict[str, float] = attrs.Factory(dict)
     reader: str = ""
     order_cache: tuple[
@@ -405,10 +399,7 @@
                 follower, follower.store.watch, prefix, version, 0.0, era
             )
     except exceptions.StoreUnavailable:
-        # All paths may fail alike because the link of this node is full. What
-        # is cut would begin again, with a handshake, at the end of its queue.
-        margin_s = follower.margins_s.get(prefix, FOLLOWER_MARGIN_S)
-        follower.margins_s[prefix] = min(2 * margin_s, MAX_MARGIN_S)
+        # All paths may fail alike because the link of this node is full.
         follower.avoid_until_s.clear()
         raise
 
@@ -430,12 +421,7 @@
     """
     asked_s = follower.now()
     try:
-        margin_s = follower.margins_s.get(prefix, FOLLOWER_MARGIN_S)
-        found = follower.fetch_changes(
-            reader, prefix, version, era, wait_s, margin_s
-        )
-        follower.margins_s.pop(prefix, None)
-        return found
+        return follower.fetch_changes(reader, prefix, version, era, wait_s)
     except leased.HistoryCompacted as error:
         raise ReaderHistoryGone(error.message, error.remedy) from error
     except exceptions.PeerUnavailable as error:
--- a/packages/assignment/tests/test_readers.py
+++ b/packages/assignment/tests/test_readers.py
@@ -38,7 +38,6 @@
         self.node = self.build.node(self.memory_store, self.clock, "n00")
         replicas.read_prefix(self.node.replica)
         self.requests = []
-        self.margins_s = []
         self.respond = lambda: leased.Changes((), 1)
         self.is_planner = False
 
@@ -49,10 +48,9 @@
     def follower(self, name: str) -> readers.FollowerState:
         """Returns the state of a node that may follow a reader."""
 
-        def fetch_changes(reader, prefix, version, era, wait_s, margin_s):
+        def fetch_changes(reader, prefix, version, era, wait_s):
             del prefix, version, era
             self.requests.append((reader.name, wait_s))
-            self.margins_s.append(margin_s)
             return self.respond()
 
         return readers.FollowerState(
@@ -70,31 +68,6 @@
         """Responds as a reader that is not current."""
         raise exceptions.PeerUnavailable("not current", "none")
 
-    def test_node_waits_longer_after_a_round_without_an_answer(self):
-        # On a full link each poll was cut and began again with a handshake,
-        # for up to 16 s.
-        def fail(*_) -> leased.Changes:
-            raise exceptions.StoreUnavailable("late", "none")
-
-        follower = self.follower("n05")
-        follower.store = attrs.evolve(self.store, watch_small=fail)
-        watch = readers.watch(follower, self.node.replica)
-        prefix = self.node.replica.prefix
-        self.respond = self.refuse
-        margins_s = []
-        for _ in range(4):
-            self.margins_s.clear()
-            self.assertRaises(
-                exceptions.StoreUnavailable, watch, prefix, 1, 0.0, 1
-            )
-            margins_s.append(max(self.margins_s))
-        self.assertEqual([0.6, 1.2, 2.4, 2.4], margins_s)
-        self.respond = lambda: leased.Changes((), 1)
-        watch(prefix, 1, 0.0, 1)
-        self.margins_s.clear()
-        watch(prefix, 1, 0.0, 1)
-        self.assertEqual([readers.FOLLOWER_MARGIN_S], self.margins_s)
-
     def test_followers_spread_over_the_readers(self):
         counts = {}
         for name in NAMES:
--- a/packages/hops/src/waxwinglever_hops/control.py
+++ b/packages/hops/src/waxwinglever_hops/control.py
@@ -59,9 +59,10 @@
 # How long a response with store changes may pause once it has begun. Packets
 # wait for over half a second on a link that is full of bodies.
 CHANGES_STALL_S = 1.0
-# Time to open a connection for a statement. The one for requests is shorter, as
-# another node may serve them.
-STATEMENT_CONNECT_TIMEOUT_S = 0.6
+# Time to open a connection for store changes. The one for requests is shorter,
+# as another node may serve them; on a link that is full it is too short for
+# every node, so that a node without a connection learned of no change.
+CHANGES_CONNECT_TIMEOUT_S = 0.6
 
 
 @attrs.define(eq=False)
@@ -231,14 +232,13 @@
 
 def changes_client(
     client: connection_pool.Client,
-) -> Callable[[fleet_view.Member, str, int, int, float, float], leased.Changes]:
+) -> Callable[[fleet_view.Member, str, int, int, float], leased.Changes]:
     """Returns a function that requests changes of the store from a reader.
 
     A reader is a node that watches the store itself. The function takes the
     reader, the prefix of the keys, the last known version, the era of the store
-    that this version belongs to, how long the reader waits for a change: 0 or
-    FOLLOWER_WAIT_S, and how long the connection and the begin of the response
-    may take beyond that. It raises HistoryCompacted if the reader no longer has
+    that this version belongs to, and how long the reader waits for a change: 0
+    or FOLLOWER_WAIT_S. It raises HistoryCompacted if the reader no longer has
     all changes or is in another era, and PeerUnavailable if the reader is
     unreachable or may be out of date.
     """
@@ -249,7 +249,6 @@
         version: int,
         era: int,
         wait_s: float,
-        margin_s: float,
     ) -> leased.Changes:
         path = f"{CHANGES_PATH}{era}/{version}/{urllib.parse.quote(prefix)}"
         # The request arrives later, so the copy was confirmed no earlier than
@@ -259,9 +258,9 @@
             client,
             reader.address,
             path if wait_s else path + NO_WAIT,
-            wait_s + margin_s,
-            max(CHANGES_STALL_S, margin_s),
-            margin_s,
+            wait_s + readers.FOLLOWER_MARGIN_S,
+            CHANGES_STALL_S,
+            CHANGES_CONNECT_TIMEOUT_S,
         )
         if response.status == GONE_STATUS:
             raise leased.HistoryCompacted(
@@ -355,7 +354,7 @@
             member.address,
             STATEMENT_PATH,
             STATEMENT_TIMEOUT_S,
-            connect_timeout_s=STATEMENT_CONNECT_TIMEOUT_S,
+            connect_timeout_s=CHANGES_CONNECT_TIMEOUT_S,
         )
         if response.status == 404:
             return freshness_module.Statement("", 0)
--- a/packages/hops/tests/test_control.py
+++ b/packages/hops/tests/test_control.py
@@ -102,9 +102,7 @@
         self.addCleanup(link.listener.close)
         reader = fleet_view.Member("n1", "1", link.address, "a", "ledger")
         fetch_changes = control.changes_client(connection_pool.Client(0.3))
-        return fetch_changes(
-            reader, "op/", 1, 1, wait_s, readers.FOLLOWER_MARGIN_S
-        )
+        return fetch_changes(reader, "op/", 1, 1, wait_s)
 
     def test_large_configuration_fits_a_slow_link(self):
         # On a link of 5 Mbit/s, 62,500 bytes take a tenth of a second. The
@@ -153,7 +151,7 @@
         reader = fleet_view.Member("n1", "1", "127.0.0.1:1", "a", "ledger")
         fetch = control.changes_client(None)
         for wait_s in (readers.FOLLOWER_WAIT_S, 0.0):
-            fetch(reader, "op/", 4, 2, wait_s, 0.6)
+            fetch(reader, "op/", 4, 2, wait_s)
         self.assertEqual([(4, 2, readers.FOLLOWER_WAIT_S), (4, 2, 0.0)], calls)
 
     def test_time_for_which_a_watcher_is_current_arrives(self):
@@ -278,7 +276,7 @@
                     fetch = control.changes_client(None)
                     reader = fleet_view.Member("n1", "1", "x:1", "a", "ledger")
                     try:
-                        taken = fetch(reader, "op/", 4, 2, 0.0, 0.6)
+                        taken = fetch(reader, "op/", 4, 2, 0.0)
                     except exceptions.PeerUnavailable:
                         continue
                 self.assertFalse(cut)
