--- a/packages/relay/src/waxwinglever_relay/ingress.py
+++ b/packages/relay/src/waxwinglever_relay/ingress.py
@@ -36,7 +36,7 @@
 RETURN_MARGIN_S = 0.004
 # Daemons that are asked to handle a request which this one must not route.
 MAX_HAND_OVERS = 2
-# A node on a full link gets a configuration within a second or two.
+# The watches and polls of a node confirm its configuration once a second.
 OUTDATED_RETRY_AFTER_MS = 500
 # Notices of backend servers that are kept; only those with a limit and those
 # that leave have one.
