--- a/packages/assignment/tests/conftest.py
+++ b/packages/assignment/tests/conftest.py
@@ -21,6 +21,12 @@
         return self.now_s
 
 
+def make_store() -> tuple[Clock, memory_leased_store.MemoryLeasedStore]:
+    """Returns a store in memory and the clock that it runs on."""
+    clock = Clock()
+    return clock, memory_leased_store.MemoryLeasedStore(now=clock)
+
+
 def member(name: str, **fields) -> fleet_view.Member:
     """Returns a ready member; `fields` override the defaults."""
     values = {
@@ -73,5 +79,9 @@
 def build(request):
     """Sets the builders of this file as `build` on a test class."""
     request.cls.build = types.SimpleNamespace(
-        Clock=Clock, member=member, ignore=ignore, node=node
+        Clock=Clock,
+        make_store=make_store,
+        member=member,
+        ignore=ignore,
+        node=node,
     )
--- a/packages/assignment/tests/test_grants.py
+++ b/packages/assignment/tests/test_grants.py
@@ -58,10 +58,7 @@
 
     def setUp(self):
         super().setUp()
-        self.clock = self.build.Clock()
-        self.memory_store = memory_leased_store.MemoryLeasedStore(
-            now=self.clock
-        )
+        self.clock, self.memory_store = self.build.make_store()
         self.node = self.build.node(self.memory_store, self.clock, "n1")
         self.server = Server()
         self.grant_manager = grants.GrantManager(
--- a/packages/assignment/tests/test_planner.py
+++ b/packages/assignment/tests/test_planner.py
@@ -29,10 +29,7 @@
 
     def setUp(self):
         super().setUp()
-        self.clock = self.build.Clock()
-        self.memory_store = memory_leased_store.MemoryLeasedStore(
-            now=self.clock
-        )
+        self.clock, self.memory_store = self.build.make_store()
         self.node = self.build.node(self.memory_store, self.clock, "n1")
         self.other = self.build.node(self.memory_store, self.clock, "n2")
         # The responses of voters that are asked to clear the earlier eras, and
--- a/packages/assignment/tests/test_readers.py
+++ b/packages/assignment/tests/test_readers.py
@@ -1,5 +1,6 @@
 """Tests of waxwinglever_assignment.readers."""
 
+import threading
 import types
 
 import attrs
@@ -7,6 +8,7 @@
 import testtools
 
 from waxwinglever_assignment import fleet_view
+from waxwinglever_assignment import reader_order
 from waxwinglever_assignment import readers
 from waxwinglever_assignment import replicas
 from waxwinglever_model import exceptions
@@ -25,10 +27,7 @@
 
     def setUp(self):
         super().setUp()
-        self.clock = self.build.Clock()
-        self.memory_store = memory_leased_store.MemoryLeasedStore(
-            now=self.clock
-        )
+        self.clock, self.memory_store = self.build.make_store()
         self.store = memory_leased_store.connect(self.memory_store)
         for name in NAMES:
             member = self.build.member(name)
@@ -75,7 +74,9 @@
             if reader is not None:
                 counts[reader.name] = counts.get(reader.name, 0) + 1
         self.assertEqual({"n00", "n01", "n02"}, set(counts))
-        self.assertLessEqual(max(counts.values()), readers.NODES_PER_READER)
+        self.assertLessEqual(
+            max(counts.values()), reader_order.NODES_PER_READER
+        )
 
     def test_leaving_node_is_no_reader(self):
         member = self.build.member("n00", leaving=True)
@@ -83,7 +84,7 @@
             fleet_view.entry_key("n00"), fleet_view.encode_member(member)
         )
         replicas.apply_next_changes(self.node.replica)
-        found = readers.zone_readers(
+        found = reader_order.zone_readers(
             fleet_view.list_members(self.node.fleet), "a"
         )
         self.assertEqual(["n01", "n02", "n03"], [m.name for m in found])
@@ -246,7 +247,7 @@
             fleet_view.entry_key("n17"), fleet_view.encode_member(member)
         )
         replicas.apply_next_changes(self.node.replica)
-        found = readers.zone_readers(
+        found = reader_order.zone_readers(
             fleet_view.list_members(self.node.fleet), "a"
         )
         self.assertEqual(["n17", "n00", "n01"], [m.name for m in found])
@@ -398,77 +399,62 @@
         replica.store.get("x")
         self.assertRaises(leased.HistoryCompacted, self.ask, replica.version)
 
+    def test_watch_without_a_change_confirms_the_copy_up_to_its_end(self):
+        replica = self.node.replica
+        asked_s = self.clock.now_s
 
-@pytest.mark.usefixtures("build")
-class WatchersTest(testtools.TestCase):
-    """Guards against calls of the store that grow with zones or nodes."""
+        def watch_store(prefix, version, wait_s, era):
+            del prefix, era
+            self.clock.now_s += wait_s + 0.25
+            return leased.Changes((), version)
 
-    # Set by the fixture.
-    build: types.SimpleNamespace = types.SimpleNamespace()
+        follower = self.follower("n00")
+        follower.store = attrs.evolve(self.store, watch=watch_store)
+        replica.watch = readers.watch(follower, replica)
+        replicas.apply_next_changes(replica)
+        self.assertEqual(asked_s + replicas.WATCH_S, replica.confirmed_s)
 
-    def members(self, zones: int, nodes: int) -> list[fleet_view.Member]:
-        """Returns the members of a fleet, spread over its zones."""
-        return [
-            self.build.member(f"n{number:03}", zone=f"z{number % zones}")
-            for number in range(nodes)
-        ]
-
-    def orders(self, members) -> dict[str, list[fleet_view.Member]]:
-        """Returns the nodes that each node asks."""
-        return {
-            member.name: readers.reader_order(
-                members, "", member.name, member.zone
+    def test_watch_with_a_change_confirms_no_more_than_its_begin(self):
+        # What was written after this change may not be among its answer.
+        replica = self.node.replica
+        asked_s = self.clock.now_s
+        key = fleet_view.entry_key("n00")
+        item = leased.Item(key, b"{}", replica.version + 1)
+
+        def watch_store(*_):
+            self.clock.now_s += 0.5
+            return leased.Changes(
+                (leased.Change(key, item.version, item),), item.version
             )
-            for member in members
-        }
-
-    def test_number_of_watchers_does_not_follow_the_zones(self):
-        # The store's calls for each change were 6 in a fleet of 24 nodes in 6
-        # zones, and 18 in one of 195.
-        for zones, nodes, count in ((6, 24, 3), (6, 195, 3), (6, 600, 7)):
-            members = self.members(zones, nodes)
-            watching = [
-                n for n, order in self.orders(members).items() if not order
-            ]
-            self.assertEqual(count, len(watching))
-            zones_left = {m.zone for m in members if m.name in watching}
-            self.assertEqual(min(count, zones), len(zones_left))
-
-    def test_planner_is_one_of_the_watchers(self):
-        # It watches the store in any case; as a fourth watcher it cost a third
-        # more calls.
-        members = self.members(6, 24)
-        planner = members[20] = attrs.evolve(members[20], incarnation="p")
-        found = readers.watchers(members, "p")
-        self.assertEqual(readers.MIN_WATCHERS, len(found))
-        self.assertIn(planner, found)
-
-    def test_small_fleet_has_a_watcher_in_each_of_its_zones(self):
-        members = self.members(3, 9)
-        watching = [n for n, order in self.orders(members).items() if not order]
-        self.assertEqual(["n000", "n001", "n002"], watching)
-
-    def test_every_node_is_two_steps_from_the_store_at_most(self):
-        members = self.members(6, 195)
-        orders = self.orders(members)
-        for order in orders.values():
-            for reader in order:
-                for watcher in orders[reader.name]:
-                    self.assertEqual([], orders[watcher.name])
-
-    def test_readers_spread_over_the_watchers(self):
-        members = self.members(6, 576)
-        asked = [
-            order[0].name
-            for name, order in self.orders(members).items()
-            if order and not self.orders(members)[order[0].name]
-        ]
-        self.assertEqual(6, len(set(asked)))
-
-    def test_reader_asks_the_watcher_of_its_zone_first(self):
-        members = self.members(6, 195)
-        watching = {m.name: m.zone for m in readers.watchers(members, "")}
-        for zone in watching.values():
-            reader = readers.zone_readers(members, zone)[1]
-            order = readers.reader_order(members, "", reader.name, zone)
-            self.assertEqual(zone, order[0].zone)
+
+        follower = self.follower("n00")
+        follower.store = attrs.evolve(self.store, watch=watch_store)
+        replica.watch = readers.watch(follower, replica)
+        replicas.apply_next_changes(replica)
+        self.assertEqual(asked_s, replica.confirmed_s)
+
+    def test_changes_now_and_then_do_not_keep_a_copy_unconfirmed(self):
+        # A change just before the end of each watch would do so.
+        replica = self.node.replica
+        replica.announces = True
+        replica.confirmed_s = self.clock.now_s - 1.0
+        self.assertAlmostEqual(
+            readers.MAX_UNCONFIRMED_S - 1.0, readers.bound_wait(replica, 1.0)
+        )
+        replica.confirmed_s -= 10.0
+        self.assertEqual(0.0, readers.bound_wait(replica, 1.0))
+
+    def test_follower_hears_at_once_that_its_reader_is_confirmed(self):
+        # Its own confirmation would be older by up to the wait of its poll.
+        replica = self.node.replica
+        replica.announces = True
+        replica.current_until_s = float("inf")
+        replica.confirmed_s = self.clock.now_s - 1.0
+        confirmed_s = self.clock.now_s
+        timer = threading.Timer(0.05, replicas.confirm, (replica, confirmed_s))
+        timer.start()
+        self.addCleanup(timer.cancel)
+        found = readers.wait_for_changes(
+            replica, replica.version, 1, readers.FOLLOWER_WAIT_S
+        )
+        self.assertEqual(((), confirmed_s), (found.changes, found.confirmed_s))
--- a/packages/assignment/tests/test_sessions.py
+++ b/packages/assignment/tests/test_sessions.py
@@ -25,10 +25,7 @@
 
     def setUp(self):
         super().setUp()
-        self.clock = self.build.Clock()
-        self.memory_store = memory_leased_store.MemoryLeasedStore(
-            now=self.clock
-        )
+        self.clock, self.memory_store = self.build.make_store()
         self.node = self.build.node(self.memory_store, self.clock, "n1")
         self.session = self.node.session
         sessions.confirm(self.session)
--- a/packages/hops/src/waxwinglever_hops/forwarding.py
+++ b/packages/hops/src/waxwinglever_hops/forwarding.py
@@ -8,6 +8,7 @@
 from waxwinglever_assignment import fleet_view
 from waxwinglever_assignment import freshness as freshness_module
 from waxwinglever_hops import control
+from waxwinglever_hops import control_calls
 from waxwinglever_hops import server
 from waxwinglever_model import clock
 from waxwinglever_model import exceptions
@@ -332,7 +333,7 @@
     """
     if incoming.target in endpoint.handlers:
         return endpoint.handlers[incoming.target](incoming)
-    if incoming.target.startswith(control.PATH):
+    if incoming.target.startswith(control_calls.PATH):
         return control.handle(endpoint.control, incoming.target)
     server.track(endpoint.in_flight, incoming)
     request = decode_request(endpoint, incoming)
