Hand requests to nodes whose configuration is confirmed

Cause: a node that had only heard of a newer version took each daemon that answered for one that knows more. Now a daemon is asked first if its own copy was confirmed recently. test_daemons_that_are_behind_themselves_are_asked_last failed before.

--- a/packages/assignment/src/waxwinglever_assignment/freshness.py
+++ b/packages/assignment/src/waxwinglever_assignment/freshness.py
@@ -72,7 +72,8 @@
       heard_confirmed_s: The same by the statements of other daemons.
       excused_until_s: Until when the records may be acted on without a
         confirmation.
-      informed_s: When another daemon last knew more than this one, by its name.
+      informed_s: When another daemon last had a recent confirmation, by its
+        name.
       lock: Guards the fields above.
     """
 
@@ -242,22 +243,22 @@
     asked_s = freshness.now()
 
     def ask_one(member: fleet_view.Member) -> bool:
-        """Returns whether the daemon knows more than this node."""
+        """Returns whether an answer shows that this node must not go on."""
         try:
             statement = ask(member)
         except exceptions.PeerUnavailable:
             return False
         hear(freshness, statement, asked_s)
+        is_informed = statement.confirmed_in_s is not None and is_recent(
+            freshness, asked_s + statement.confirmed_in_s
+        )
         with freshness.lock:
-            is_behind = freshness.newest_version > freshness.version
-            if is_behind or (
-                statement.confirmed_in_s is not None
-                and is_recent(freshness, asked_s + statement.confirmed_in_s)
-            ):
+            if is_informed:
                 freshness.informed_s[member.name] = asked_s
-                return True
-            freshness.excused_until_s = asked_s + EXCUSE_S
-            return False
+            elif freshness.newest_version <= freshness.version:
+                freshness.excused_until_s = asked_s + EXCUSE_S
+                return False
+            return True
 
     if not members:
         freshness.excused_until_s = asked_s + EXCUSE_S
--- a/packages/assignment/tests/test_freshness.py
+++ b/packages/assignment/tests/test_freshness.py
@@ -24,10 +24,7 @@
 
     def setUp(self):
         super().setUp()
-        self.clock = self.build.Clock()
-        self.memory_store = memory_leased_store.MemoryLeasedStore(
-            now=self.clock
-        )
+        self.clock, self.memory_store = self.build.make_store()
         self.store = memory_leased_store.connect(self.memory_store)
         self.store.commit({}, [leased.Write(KEY, b"1")], [], 1)
         self.events = []
@@ -191,3 +188,13 @@
         self.ask(state, [freshness.Statement("", 0)])
         self.clock.now_s += freshness.EXCUSE_S
         self.assertFalse(freshness.is_current(state))
+
+    def test_daemons_that_are_behind_themselves_are_asked_last(self):
+        # Requests were handed to two nodes that could not route them either.
+        state = self.node()
+        self.clock.now_s += 2 * BOUND_S
+        behind = freshness.Statement("1.0", 2, -3 * BOUND_S)
+        ahead = freshness.Statement("1.0", 2, -0.1)
+        self.ask(state, [behind, ahead, behind])
+        members = [self.build.member(f"n{number}") for number in range(3)]
+        self.assertEqual("n1", freshness.order_sources(state, members)[0].name)
