Don't send to owners in a zone that this node knows to be closed

An operator who has closed a zone may see requests with keys run there later than 5 s after the acknowledgement.

The first daemon acts on confirmed records, so it refuses now, 2.0 s after the closing as the owner did, and waits for the next owner as before.

test_owner_in_a_closed_zone_gets_no_requests_after_the_grace failed before: the request was sent.

--- a/packages/relay/src/waxwinglever_relay/delivery.py
+++ b/packages/relay/src/waxwinglever_relay/delivery.py
@@ -21,9 +21,6 @@
 
 # A request with less time to its deadline is refused.
 MIN_REMAINING_S = 0.02
-# After operators close a zone, its backend servers still get requests for this
-# long. The platform allows 5 s, in which ranges are handed over.
-CLOSED_ZONE_GRACE_S = 2.0
 # Consecutive failed connections after which the backend server is marked down.
 DOWN_AFTER_FAILED_CONNECTS = 2
 
@@ -59,7 +56,6 @@
       grant_manager: The ranges that the backend server holds.
       log: Called with an event name and fields.
       now: Returns seconds of the boot clock.
-      closed_since_s: When the zone of this node was closed, or None if open.
       connect_failures: Consecutive failed connections.
       load_meter: Request counts by bucket of shards.
     """
@@ -70,7 +66,6 @@
     grant_manager: grants.GrantManager
     log: Callable[..., None]
     now: Callable[[], float] = clock.boottime_s
-    closed_since_s: float | None = None
     connect_failures: int = 0
     load_meter: loads.LoadMeter = attrs.Factory(loads.LoadMeter)
 
@@ -140,10 +135,7 @@
         raise backend_unavailable_error("the backend server does not answer")
     if now_s - backend.draining_since_s > backend_state.DRAIN_GRACE_S:
         raise draining_error("the backend server is draining")
-    if (
-        local_delivery.closed_since_s is not None
-        and now_s - local_delivery.closed_since_s > CLOSED_ZONE_GRACE_S
-    ):
+    if routes.is_evacuated(local_delivery.active_config, backend.zone, now_s):
         raise draining_error("the zone is closed")
     if request.deadline_s - now_s < MIN_REMAINING_S:
         raise exceptions.Overloaded(
--- a/packages/relay/src/waxwinglever_relay/ingress.py
+++ b/packages/relay/src/waxwinglever_relay/ingress.py
@@ -216,6 +216,11 @@
     if notice is not None:
         request = attrs.evolve(request, notice=notice)
     try:
+        if routes.is_evacuated(
+            ingress_router.active_config, member.zone, began_s
+        ):
+            # The node itself may not know yet: its copy may be an older one.
+            raise delivery.draining_error("its zone is closed")
         if member.name == ingress_router.name:
             response = delivery.deliver(
                 ingress_router.local_delivery, request, caller
--- a/packages/relay/src/waxwinglever_relay/routes.py
+++ b/packages/relay/src/waxwinglever_relay/routes.py
@@ -13,6 +13,9 @@
 UNSAFE = "unsafe"
 UPLOAD = "upload"
 KINDS = (SAFE, UNSAFE, UPLOAD)
+# After operators close a zone, its backend servers still get requests for this
+# long. The platform allows 5 s, in which ranges are handed over.
+CLOSED_ZONE_GRACE_S = 2.0
 
 
 def is_finite(_, attribute: attrs.Attribute, value: float) -> None:
@@ -119,12 +122,14 @@
     Attributes:
       config: The active configuration, or None before the first.
       closed_zones: Zones whose backend servers get no new requests.
+      closed_since_s: When each of them was closed.
       split_credits: Number of requests that a service is behind its weighted
         share, by the names of the route and the service.
     """
 
     config: RoutingConfig | None = None
     closed_zones: frozenset[str] = frozenset()
+    closed_since_s: Mapping[str, float] = attrs.Factory(dict)
     split_credits: dict[tuple[str, str], float] = attrs.Factory(dict)
     lock: threading.Lock = attrs.Factory(threading.Lock)
 
@@ -145,6 +150,23 @@
         return True
 
 
+def close_zones(
+    active_config: ActiveConfig, zones: frozenset[str], now_s: float
+) -> None:
+    """Sets the closed zones; those that were closed already stay so."""
+    before = active_config.closed_since_s
+    active_config.closed_since_s = {
+        zone: before.get(zone, now_s) for zone in zones
+    }
+    active_config.closed_zones = zones
+
+
+def is_evacuated(active_config: ActiveConfig, zone: str, now_s: float) -> bool:
+    """Returns whether a zone's backend servers get no requests any more."""
+    closed_s = active_config.closed_since_s.get(zone)
+    return closed_s is not None and now_s - closed_s > CLOSED_ZONE_GRACE_S
+
+
 def find_route(config: RoutingConfig, host: str, path: str) -> Route | None:
     """Returns the route with the longest matching prefix, or None."""
     for route in config.hosts.get(host, ()):
--- a/packages/relay/tests/test_delivery.py
+++ b/packages/relay/tests/test_delivery.py
@@ -13,6 +13,7 @@
 from waxwinglever_relay import delivery
 from waxwinglever_relay import http_client
 from waxwinglever_relay import messages
+from waxwinglever_relay import routes
 
 LOST = http_client.ResponseLost("reset", "none")
 LATE = http_client.ResponseTimeout("late", "none")
@@ -63,9 +64,13 @@
         self.assert_refused(exceptions.Draining)
 
     def test_closed_zone_gets_no_new_requests_after_the_grace_period(self):
-        self.local_delivery.closed_since_s = self.clock.now_s
+        routes.close_zones(
+            self.local_delivery.active_config,
+            frozenset("a"),
+            self.clock.now_s,
+        )
         self.deliver()
-        self.clock.now_s += delivery.CLOSED_ZONE_GRACE_S + 0.1
+        self.clock.now_s += routes.CLOSED_ZONE_GRACE_S + 0.1
         self.assert_refused(exceptions.Draining)
 
     def test_request_to_a_server_that_is_down_is_refused(self):
--- a/packages/relay/tests/test_ingress.py
+++ b/packages/relay/tests/test_ingress.py
@@ -10,6 +10,7 @@
 from waxwinglever_model import exceptions
 from waxwinglever_relay import ingress
 from waxwinglever_relay import messages
+from waxwinglever_relay import routes
 
 HALF = 32_768
 OUTCOME_UNKNOWN = exceptions.OutcomeUnknown("lost", "none")
@@ -118,6 +119,20 @@
         self.assertRaises(exceptions.BackendUnavailable, self.handle_unkeyed)
         self.assertEqual([], self.sent)
 
+    def test_owner_in_a_closed_zone_gets_no_requests_after_the_grace(self):
+        # Its own daemon was the only one to refuse them, by a copy that may be
+        # older than this node's.
+        active_config = self.ingress_router.active_config
+        routes.close_zones(active_config, frozenset("a"), self.clock.now_s)
+        self.handle(shard=1)
+        self.assertEqual(["n1"], self.sent)
+        self.clock.now_s += routes.CLOSED_ZONE_GRACE_S + 0.1
+        self.assertRaises(exceptions.Draining, self.handle, shard=1)
+        self.assertEqual(["n1"], self.sent)
+        routes.close_zones(active_config, frozenset(), self.clock.now_s)
+        self.handle(shard=1)
+        self.assertEqual(["n1", "n1"], self.sent)
+
     def test_outcome_of_each_attempt_is_recorded(self):
         self.fake_backend.results = [OVERLOADED, self.build.RESPONSE]
         self.handle_unkeyed()
