review: case 6, split-off keys move while their holder is at work

OWNER breaks: when the connection of a release is reset, a range that was just split off counts as released, and another instance is given its keys while the first one is at work on them and would hold them for up to 1.5 s more.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,6 +1,7 @@
-"""An instance crashes and starts again; its new life gets the old grants."""
+"""Busy keys move while some connections of one machine are reset."""
 
 import pathlib
+import random
 import sys
 import time
 
@@ -8,26 +9,60 @@
 
 import standins  # pylint: disable=wrong-import-position
 
-DOWN_S = 4.0
+RUN_S = 70.0
+# Least time between two resets.
+PAUSE_S = 2.0
+# How long after the begin of a hand-over the connections are reset.
+DELAY_S = 0.1
+MOVE_EVERY_S = 2.0
+# Share of the machine's connections that are reset each time.
+SHARE = 0.5
+PER_S = 24
+WORK_S = 0.8
+BUSY_KEYS = 2_000
+BUSY_SHARE = 0.7
 
 
 def run(fleet):
-    workshop = [n for n in fleet.nodes if n.instance.service == standins.UNKEYED]
-    # Clients of the other service only: no request meets the crashed instance.
-    standins.run_clients(fleet, "GET", "/status/1", 5, workshop, keyed=False)
-    instance = fleet.nodes[0].instance
-    for _ in range(3):
-        time.sleep(4.0)
+    for node in fleet.nodes:
+        node.instance.work_s = WORK_S
+    end_s = standins.now_s() + RUN_S
+    busy = [20_000]
+
+    def clients():
+        while standins.now_s() < end_s:
+            key = random.randint(0, standins.LAST_KEY)
+            if random.random() < BUSY_SHARE:
+                key = busy[0] + random.randint(0, BUSY_KEYS)
+            method, path = random.choice((("GET", "/board/"), ("POST", "/claim/")))
+            node = random.choice(fleet.nodes)
+            standins.threading.Thread(
+                target=standins.send,
+                args=(node, method, f"{path}{random.getrandbits(32)}", key),
+                daemon=True,
+            ).start()
+            time.sleep(1 / PER_S)
+
+    def moves():
+        while not fleet.stopping.wait(MOVE_EVERY_S):
+            busy[0] = random.randint(0, standins.LAST_KEY - BUSY_KEYS)
+
+    standins.threading.Thread(target=clients, daemon=True).start()
+    standins.threading.Thread(target=moves, daemon=True).start()
+    node = fleet.nodes[0]
+    while standins.now_s() < end_s:
+        node.instance.releasing.clear()
+        if not node.instance.releasing.wait(1.0):
+            continue
+        time.sleep(DELAY_S)
         if standins.has_trouble():
-            instance.crash()
-            time.sleep(DOWN_S)
-            # Its first heartbeat comes one interval after its start.
-            instance.start(first_beat_s=standins.HEARTBEAT_S)
-        else:
-            time.sleep(DOWN_S)
-    time.sleep(4.0)
-    if not fleet.all_keys_held():
-        fleet.record.note("some keys are held by nobody at the end")
-
-
-standins.main(run, (standins.KEYED, standins.KEYED, standins.UNKEYED))
+            count, total = node.proxy.reset(SHARE)
+            fleet.record.note(f"{count} of {total} connections of n1 are reset")
+        time.sleep(PAUSE_S)
+
+
+standins.main(
+    run,
+    (standins.KEYED, standins.KEYED, standins.KEYED, standins.UNKEYED),
+    proxied=("n1",),
+)
--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -12,6 +12,7 @@
 import os
 import pathlib
 import random
+import select
 import shutil
 import signal
 import socket
@@ -102,6 +103,7 @@
     """Passes requests to `respond(method, path, headers, body)`.
 
     It returns (status, headers, body), or None to close the connection.
+    `connection` is the connection that the request came on.
     """
 
     protocol_version = "HTTP/1.1"
@@ -306,13 +308,31 @@
     """The fencing tokens with which incarnations of instances had keys.
 
     A grant of a key to one incarnation must have a token above all with which
-    other incarnations had it.
+    other incarnations had it. An instance must not be given a key on which
+    another is still at work, before that one's hold would have run out.
     """
 
     def __init__(self, record):
         self.record = record
         self.lock = threading.Lock()
         self.had = {}
+        self.instances = []
+
+    def check_work(self, receiver, first, last):
+        """Notes keys of a grant on which other instances are at work."""
+        for other in self.instances:
+            if other is receiver or not other.is_up:
+                continue
+            for request_id, key in list(other.at_work.items()):
+                left_s = other.hold_end_s(key) - now_s()
+                if first <= key <= last and left_s > 0:
+                    self.record.break_rule(
+                        "OWNER",
+                        f"{receiver.incarnation} is given keys {first}-{last};"
+                        f" {other.incarnation} is at work on {request_id}, key"
+                        f" {key}, and its hold would have lasted"
+                        f" {left_s:.3f} s longer",
+                    )
 
     def check(self, incarnation, first, last, fence):
         with self.lock:
@@ -368,6 +388,9 @@
         self.runs = []
         self.arrivals = []
         self.running = 0
+        self.at_work = {}
+        self.held = []
+        self.releasing = threading.Event()
         self.is_up = False
         self.acked_s = None
         self.cold_until_s = float("-inf")
@@ -385,6 +408,8 @@
         self.sequence = 0
         self.grants = []
         self.seen = []
+        self.held = []
+        self.at_work = {}
         self.state = "ready"
         self.acked_s = None
         instance = self
@@ -395,7 +420,9 @@
             def respond(self, method, path, headers, body):
                 if self.life != instance.starts or not instance.is_up:
                     return None
-                return instance.handle(method, path, headers, body)
+                return instance.handle(
+                    method, path, headers, body, self.connection
+                )
 
         self.server = Server((self.host, self.port), InstanceHandler)
         self.record.note(f"instance {self.incarnation} starts at {self.address}")
@@ -473,6 +500,28 @@
             for first, last, _, end_s in self.grants
         )
 
+    def work(self, connection):
+        """Works on a request; returns False if its caller has left."""
+        end_s = now_s() + self.work_s
+        while (left_s := end_s - now_s()) > 0:
+            if is_closed(connection):
+                return False
+            time.sleep(min(left_s, 0.02))
+        return True
+
+    def hold_end_s(self, key):
+        """Returns until when grants of a key last, as if never released."""
+        ends = [end for first, last, end in list(self.held) if first <= key <= last]
+        return max(ends, default=float("-inf"))
+
+    def end_work(self, first, last):
+        """Waits until the work that runs on some keys has ended."""
+        life = self.starts
+        while life == self.starts and any(
+            first <= key <= last for key in list(self.at_work.values())
+        ):
+            time.sleep(0.005)
+
     def subtract(self, first, last):
         left = []
         for a, b, fence, end_s in self.grants:
@@ -485,7 +534,7 @@
                 left.append((last + 1, b, fence, end_s))
         self.grants = left
 
-    def handle(self, method, path, headers, body):
+    def handle(self, method, path, headers, body, connection):
         if path == "/health":
             return (
                 200 if self.state == "ready" else 503,
@@ -501,10 +550,13 @@
             data = json.loads(body)
             with self.lock:
                 self.subtract(data["from"], data["to"])
-            self.record.note(f"{self.incarnation} releases {data}")
+            self.record.note(f"{self.incarnation} stops work on {data}")
+            self.releasing.set()
+            self.end_work(data["from"], data["to"])
+            self.record.note(f"{self.incarnation} has released {data}")
             token = f"{random.getrandbits(64):016x}"
             return 200, (("Waxwinglever-Handover", token),), b""
-        return self.run_request(headers)
+        return self.run_request(headers, connection)
 
     def take_grant(self, data):
         first, last, fence = data["from"], data["to"], data["fence"]
@@ -519,11 +571,14 @@
             self.subtract(first, last)
             end_s = now_s() + data["holdMs"] / 1000 * CLOCK_FACTOR
             self.grants.append((first, last, fence, end_s))
+            self.held = [item for item in self.held if item[2] > now_s()]
+            self.held.append((first, last, end_s))
         self.record.note(f"{self.incarnation} takes grant {data}")
         self.fences.check(self.incarnation, first, last, fence)
+        self.fences.check_work(self, first, last)
         return 200, (), b""
 
-    def run_request(self, headers):
+    def run_request(self, headers, connection):
         request_id = headers.get("Waxwinglever-Request-Id", "")
         expected = headers.get("Waxwinglever-Expected-Instance")
         key = headers.get("Waxwinglever-Shard-Key")
@@ -543,12 +598,17 @@
         self.record.note(f"{self.incarnation} runs {request_id}")
         with self.lock:
             self.running += 1
+            if key is not None:
+                self.at_work[request_id] = int(key)
         try:
-            time.sleep(self.work_s)
+            finished = self.work(connection)
         finally:
             with self.lock:
                 self.running -= 1
-        if life != self.starts or not self.is_up:
+                if life == self.starts:
+                    self.at_work.pop(request_id, None)
+        if not finished or life != self.starts or not self.is_up:
+            self.record.note(f"{self.incarnation} drops {request_id}")
             return None
         return (
             200,
@@ -560,6 +620,71 @@
         )
 
 
+def is_closed(connection):
+    """Returns whether the peer has closed or reset a connection."""
+    try:
+        ready, _, _ = select.select([connection], [], [], 0)
+        return bool(ready) and not connection.recv(1, socket.MSG_PEEK)
+    except (OSError, ValueError):
+        return True
+
+
+class ResetProxy:
+    """Passes connections to an address on, and resets some on request."""
+
+    def __init__(self, host, target):
+        self.target = target
+        self.pairs = set()
+        self.lock = threading.Lock()
+        self.listener = socket.create_server((host, 0), backlog=128)
+        self.address = f"{host}:{self.listener.getsockname()[1]}"
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            client, _ = self.listener.accept()
+            host, _, port = self.target.rpartition(":")
+            try:
+                server = socket.create_connection((host, int(port)), 1.0)
+            except OSError:
+                client.close()
+                continue
+            pair = (client, server)
+            for sock in pair:
+                sock.settimeout(None)
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            with self.lock:
+                self.pairs.add(pair)
+            for source, sink in (pair, pair[::-1]):
+                threading.Thread(
+                    target=self.copy, args=(source, sink, pair), daemon=True
+                ).start()
+
+    def copy(self, source, sink, pair):
+        with contextlib.suppress(OSError):
+            while data := source.recv(65_536):
+                sink.sendall(data)
+        for sock in pair:
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+        with self.lock:
+            self.pairs.discard(pair)
+
+    def reset(self, share):
+        """Resets a share of the open connections; returns how many of them."""
+        with self.lock:
+            pairs = list(self.pairs)
+        chosen = random.sample(pairs, int(len(pairs) * share))
+        for pair in chosen:
+            for sock in pair:
+                with contextlib.suppress(OSError):
+                    sock.setsockopt(
+                        socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0"
+                    )
+                    sock.shutdown(socket.SHUT_RD)
+        return len(chosen), len(pairs)
+
+
 class Node:
     """A node: its settings, its process and its instance."""
 
@@ -579,6 +704,7 @@
         self.instance.control = f"{host}:{ports['backend']}"
         self.path = fleet.folder / f"{name}.json"
         self.process = None
+        self.proxy = None
         self.settings = {
             "node": name,
             "zone": zone,
@@ -644,7 +770,7 @@
 class Fleet:
     """A small deployment on loopback addresses."""
 
-    def __init__(self, record, services):
+    def __init__(self, record, services, proxied=()):
         self.record = record
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-2-"))
         self.prefix = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}"
@@ -664,6 +790,11 @@
             )
             for number, service in enumerate(services)
         ]
+        self.fences.instances = [node.instance for node in self.nodes]
+        for node in self.nodes:
+            if node.name in proxied:
+                node.proxy = ResetProxy(node.host, node.instance.address)
+                node.settings["backend_address"] = node.proxy.address
 
     def write_config(self, priorities=None, names=None, added=()):
         """Writes the next configuration.
@@ -825,12 +956,13 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-def main(case, services, **config):
+def main(case, services, proxied=(), **config):
     """Runs a case and exits with its result.
 
     Args:
       case: Called with the fleet; raises RuntimeError if it can't run.
       services: The service beside each node.
+      proxied: Names of nodes with a proxy between them and their instance.
       **config: Arguments of Fleet.write_config for the first configuration.
     """
     signal.alarm(115)
@@ -838,7 +970,7 @@
     fleet = None
     result = EXIT_NOT_RUN
     try:
-        fleet = Fleet(record, services)
+        fleet = Fleet(record, services, proxied)
         if not fleet.start(**config):
             raise RuntimeError("the fleet does not serve within 40 s")
         case(fleet)
