--- a/review/6/case.py
+++ b/review/6/case.py
@@ -9,18 +9,18 @@
 
 import standins  # pylint: disable=wrong-import-position
 
-RUN_S = 80.0
+RUN_S = 88.0
 # Least time between two resets.
-PAUSE_S = 2.0
+PAUSE_S = 1.0
 # How long after the begin of a hand-over the connections are reset.
 DELAY_S = 0.1
-MOVE_EVERY_S = 5.0
+MOVE_EVERY_S = 3.0
 # Share of the machine's connections that are reset each time.
 SHARE = 0.5
 PER_S = 60
 WORK_S = 0.8
 BUSY_KEYS = 200
-BUSY_SHARE = 0.35
+BUSY_SHARE = 0.44
 
 
 def run(fleet):
