Send grants only over connections that reach the same process

A late request of the ended run could not have been told from one of the next.

Cause: a grant went to the address of the backend server on behalf of the run that had announced itself last; nothing in it says which run it is meant for. Neither missing heartbeats nor failed renewals nor health answers can tell the runs apart, as each may be late or bear a kept id.

When none is left, the next process counts as another one and gets the next of 256 tokens that belong to each fence, without a call to the store. The entry of a node names the run of its daemon too, so a daemon that starts again claims its ranges under new fences: it can't know which run got the grants of its previous run. Grants that were not sent don't count as held any more.

The simulated fleet hears a restarted server up to 3 s late, resets its connections and restarts daemons beside it.

--- a/packages/assignment/src/waxwinglever_assignment/fleet_view.py
+++ b/packages/assignment/src/waxwinglever_assignment/fleet_view.py
@@ -41,8 +41,8 @@
       address: host:port at which other daemons reach it.
       zone: Availability zone.
       service: Service of the backend server.
-      instance: Id of the run of the backend server, or '' until the server has
-        announced itself.
+      instance: Id of the run of the backend server under this run of the
+        daemon, see run_id, or '' until the server has announced itself.
       instance_id: Id that the backend server uses for itself.
       slots: Requests that the backend server runs concurrently.
       state: STARTING, READY, DRAINING or DOWN.
@@ -65,6 +65,24 @@
     cores: float = 1.0
 
 
+def run_id(boot_id: str, incarnation: str) -> str:
+    """Returns the id of a run of a backend server under one run of its daemon.
+
+    A daemon that starts again can't know which run of the backend server got
+    the grants of its previous run, so it claims its ranges under new fences.
+
+    Args:
+      boot_id: Id of the run of the backend server.
+      incarnation: Id of the run of the daemon.
+    """
+    return f"{boot_id}/{incarnation}"
+
+
+def run_boot_id(instance: str) -> str:
+    """Returns the id of the run of a backend server from that of `run_id`."""
+    return instance.partition("/")[0]
+
+
 def entry_key(name: str) -> str:
     """Returns the key of a node's entry.
 
--- a/packages/assignment/src/waxwinglever_assignment/grants.py
+++ b/packages/assignment/src/waxwinglever_assignment/grants.py
@@ -6,7 +6,7 @@
 
 import random
 import threading
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from concurrent import futures
 
 import attrs
@@ -48,21 +48,43 @@
     kind = "fence-too-low"
 
 
+class NotSent(exceptions.BackendUnavailable):
+    """No connection reaches the process that a call is meant for."""
+
+
 @attrs.frozen
 class GrantCalls:
     """Calls to the backend server; each raises BackendUnavailable.
 
     Attributes:
-      grant: Grants a range; called with the range, the seconds to hold it and
-        the timeout of the call. Raises FenceTooLow.
+      connect: Returns the number of the process of the backend server that
+        grants reach, which rises whenever it can't be shown to be the same one.
+        Called with the number of grants that follow.
+      grant: Grants a range; called with the range, the seconds to hold it, the
+        timeout of the call and the number of the process that it is meant for.
+        Raises FenceTooLow, or NotSent if that process can't be reached.
       release: Releases a range; called with the range and the timeout of the
         call. Returns the handover token.
     """
 
-    grant: Callable[[tables.Range, float, float], None]
+    connect: Callable[[int], int]
+    grant: Callable[[tables.Range, float, float, int], None]
     release: Callable[[tables.Range, float], str]
 
 
+@attrs.frozen
+class FenceUse:
+    """The processes of the backend server that were granted a fence.
+
+    Attributes:
+      first: Number of the first one, which has the lowest token.
+      newest: Number of the last one.
+    """
+
+    first: int
+    newest: int
+
+
 @attrs.frozen
 class Restart:
     """A backend server that runs anew.
@@ -99,6 +121,9 @@
         answered already may still move them.
       hold_book: Until when the backend server may hold each shard.
       instance: Id of the run of the backend server that the grants went to.
+      process: Number of the process of the backend server that was reached
+        last.
+      fence_uses: The processes that each fence was granted to.
       lock: Held while the fields above are read or changed.
       send_lock: Held while renewals are sent.
       executor: Threads that call the backend server.
@@ -123,6 +148,8 @@
         takes_self=True,
     )
     instance: str = ""
+    process: int = 0
+    fence_uses: dict[int, FenceUse] = attrs.field(factory=dict)
     lock: threading.Lock = attrs.Factory(threading.Lock)
     send_lock: threading.Lock = attrs.Factory(threading.Lock)
     executor: futures.ThreadPoolExecutor = attrs.Factory(
@@ -287,6 +314,7 @@
         held = ranges_held_since_restore(grant_manager)
         with grant_manager.lock:
             if table is not None:
+                forget_fences(grant_manager, (*owned, *held))
                 # A range whose move was cancelled is granted again, unless the
                 # record of its move was lost in a restore of the store.
                 grant_manager.releasing &= (
@@ -298,17 +326,34 @@
                         if not tables.is_current(item, table.era)
                     }
                 )
-            due_s = grant_manager.now() + RENEW_BELOW_S
-            due = [
+            staying = [
                 item
                 for item in (*owned, *held)
                 if not item.to_node
                 and item.fence not in grant_manager.releasing
-                and (
-                    grant_manager.ranges.get(item.fence) != item
-                    or grant_manager.grant_end_s[item.fence] < due_s
-                )
             ]
+        expiring = [
+            item for item in staying if is_expiring(grant_manager, item)
+        ]
+        if not staying or not reach_process(grant_manager, len(expiring)):
+            return
+        used_up = {
+            item.fence
+            for item in staying
+            if next_token_index(grant_manager, item) >= tables.TOKENS_PER_FENCE
+        }
+        if table is not None and any(item.fence in used_up for item in owned):
+            claim_ranges(grant_manager, table, member.instance, used_up)
+            return
+        due = [
+            item
+            for item in staying
+            if item.fence not in used_up
+            and (
+                item in expiring
+                or not is_granted_to_process(grant_manager, item)
+            )
+        ]
         list(
             grant_manager.executor.map(
                 lambda item: grant(grant_manager, item), due
@@ -316,6 +361,93 @@
         )
 
 
+def reach_process(grant_manager: GrantManager, calls: int) -> bool:
+    """Finds out which process of the backend server grants would reach.
+
+    Args:
+      grant_manager: State of the grants.
+      calls: How many grants may follow.
+
+    Returns:
+      Whether there is one.
+    """
+    try:
+        process = grant_manager.grant_calls.connect(calls)
+    except exceptions.BackendUnavailable as error:
+        grant_manager.log("grants-not-sent", error=error.message)
+        return False
+    if process != grant_manager.process:
+        grant_manager.log(
+            "grants-reconnected",
+            process=process,
+            instance=grant_manager.instance,
+            ranges=calls,
+        )
+        grant_manager.process = process
+    return True
+
+
+def is_expiring(grant_manager: GrantManager, item: tables.Range) -> bool:
+    """Returns whether the grant of a range ends soon, or there is none."""
+    due_s = grant_manager.now() + RENEW_BELOW_S
+    with grant_manager.lock:
+        return (
+            grant_manager.ranges.get(item.fence) != item
+            or grant_manager.grant_end_s[item.fence] < due_s
+        )
+
+
+def is_granted_to_process(
+    grant_manager: GrantManager, item: tables.Range
+) -> bool:
+    """Returns whether the present process got the last grant of a range.
+
+    Any other process may hold nothing.
+    """
+    with grant_manager.lock:
+        use = grant_manager.fence_uses.get(item.fence)
+    return use is not None and use.newest == grant_manager.process
+
+
+def next_token_index(grant_manager: GrantManager, item: tables.Range) -> int:
+    """Returns the number of the token of a range for the present process."""
+    with grant_manager.lock:
+        use = grant_manager.fence_uses.get(item.fence)
+    return 0 if use is None else grant_manager.process - use.first
+
+
+def use_fence(grant_manager: GrantManager, item: tables.Range) -> tables.Range:
+    """Returns a range with its fencing token for the present process.
+
+    The fence itself was never granted before this run of the daemon, as that
+    claims its ranges anew. A process gets a token above those of all earlier
+    ones, so that it never has a shard by a token that another one had.
+    """
+    process = grant_manager.process
+    with grant_manager.lock:
+        use = grant_manager.fence_uses.get(item.fence)
+        first = process if use is None else use.first
+        grant_manager.fence_uses[item.fence] = FenceUse(first, process)
+    token = tables.fencing_token(item, process - first)
+    return attrs.evolve(item, fence=token)
+
+
+def newest_token(grant_manager: GrantManager, item: tables.Range) -> int:
+    """Returns the highest token under which a range was granted, if it was."""
+    with grant_manager.lock:
+        use = grant_manager.fence_uses.get(item.fence, FenceUse(0, 0))
+    return tables.fencing_token(item, use.newest - use.first)
+
+
+def forget_fences(
+    grant_manager: GrantManager, current: Collection[tables.Range]
+) -> None:
+    """Forgets fences that won't be granted any more; requires the lock."""
+    kept = {item.fence for item in current} | set(grant_manager.ranges)
+    for fence in set(grant_manager.fence_uses) - kept:
+        del grant_manager.fence_uses[fence]
+
+
 def reset_on_restart(grant_manager: GrantManager, instance: str) -> None:
     """Discards all grants when the backend server has been restarted.
 
@@ -355,7 +487,10 @@
 
 
 def claim_ranges(
-    grant_manager: GrantManager, table: tables.OwnershipTable, instance: str
+    grant_manager: GrantManager,
+    table: tables.OwnershipTable,
+    instance: str,
+    used_up: Collection[int] = (),
 ) -> None:
     """Claims this node's ranges for the current run of its backend server.
 
@@ -363,6 +498,12 @@
     failure many owners claim at the same time, each in most parts of the table,
     so that one of them succeeds at a time. It claims for the others as well.
 
+    Args:
+      grant_manager: State of the grants.
+      table: The newest table that this node has.
+      instance: The current run of the backend server.
+      used_up: Fences of this node whose tokens are used up.
+
     Raises:
       Conflict: Other nodes changed the table at each attempt.
       StoreUnavailable: The store did not answer.
@@ -375,7 +516,8 @@
             if not tables.is_current(item, current.era):
                 continue
             if item.node == grant_manager.name:
-                run = instance if item.instance != instance else ""
+                is_new = item.instance != instance or item.fence in used_up
+                run = instance if is_new else ""
             else:
                 run = "" if item.to_node else find_run(restarts, item)
             if run:
@@ -443,11 +585,17 @@
             book, item.first, item.last, sent_s + CALL_TIMEOUT_S + valid_s
         )
     try:
-        grant_manager.grant_calls.grant(item, hold_s, CALL_TIMEOUT_S)
-    except FenceTooLow as error:
-        grant_manager.log(
-            "grant-refused", fence=item.fence, error=error.message
+        grant_manager.grant_calls.grant(
+            use_fence(grant_manager, item),
+            hold_s,
+            CALL_TIMEOUT_S,
+            grant_manager.process,
         )
+    except (FenceTooLow, NotSent) as error:
+        event = "grant-not-sent"
+        if isinstance(error, FenceTooLow):
+            event = "grant-refused"
+        grant_manager.log(event, fence=item.fence, error=error.message)
         with grant_manager.lock:
             holds.withdraw(book, sent)
         return
--- a/packages/assignment/src/waxwinglever_assignment/handovers.py
+++ b/packages/assignment/src/waxwinglever_assignment/handovers.py
@@ -7,6 +7,8 @@
 from collections.abc import Iterator, Mapping
 from concurrent import futures
 
+import attrs
+
 from waxwinglever_assignment import commits
 from waxwinglever_assignment import fleet_view
 from waxwinglever_assignment import grants
@@ -176,7 +178,10 @@
     book = grant_manager.hold_book
     with grant_manager.lock:
         position = holds.begin_release(book)
-    token = grant_manager.grant_calls.release(item, timeout_s)
+    token = grant_manager.grant_calls.release(
+        attrs.evolve(item, fence=grants.newest_token(grant_manager, item)),
+        timeout_s,
+    )
     with grant_manager.lock:
         holds.record_release(book, item.first, item.last, position)
         if item.fence in grant_manager.grant_end_s:
--- a/packages/assignment/src/waxwinglever_assignment/sessions.py
+++ b/packages/assignment/src/waxwinglever_assignment/sessions.py
@@ -174,6 +174,19 @@
         session.wake.set()
 
 
+def publish_server(session: Session, instance: str, **fields: object) -> None:
+    """Updates what the entry says of the backend server.
+
+    Args:
+      session: The session.
+      instance: Id of the run of the backend server, or '' if it is unknown.
+      **fields: Other fields of the member.
+    """
+    if instance:
+        instance = fleet_view.run_id(instance, session.member.incarnation)
+    update_member(session, instance=instance, **fields)
+
+
 def run(session: Session) -> None:
     """Confirms the session until `stopping` is set; runs in a thread."""
     while not session.stopping.is_set():
--- a/packages/assignment/src/waxwinglever_assignment/tables.py
+++ b/packages/assignment/src/waxwinglever_assignment/tables.py
@@ -27,9 +27,15 @@
 NO_VERSIONS = (0,) * PARTS
 # The era of records that were written before eras were recorded.
 UNKNOWN_ERA = -1
+# Fencing tokens that belong to one fence. The owner takes the next one when it
+# can't tell whether the same process of its backend server still listens.
+TOKENS_PER_FENCE = 256
+FENCE_STEP = PARTS * TOKENS_PER_FENCE
 # Each era of the store has fences of its own, above those of earlier eras,
-# because a restored table may have forgotten fences that were used.
-FENCES_PER_ERA = 2**24
+# because a restored table may have forgotten fences that were used. A backend
+# server may read tokens as floating-point numbers, which are exact up to 2**53;
+# this leaves room for 8,191 eras.
+FENCES_PER_ERA = 2**40
 
 
 @attrs.frozen
@@ -42,7 +48,7 @@
       node: Name of the owning node, or NO_OWNER.
       instance: Id of the run of the owner's backend server; a restarted server
         gets a new one.
-      fence: Fencing token of this ownership.
+      fence: Lowest fencing token of this ownership; see fencing_token.
       handover: Token from the previous owner's backend server that lets the
         present one start warm; empty when there is none.
       to_node: Node that the owner should hand the range to, or NO_OWNER.
@@ -241,10 +247,20 @@
     """
     part = part_of(first)
     fence = max(next_fences[part], max(0, era) * FENCES_PER_ERA + part)
-    next_fences[part] = fence + PARTS
+    next_fences[part] = fence + FENCE_STEP
     return fence
 
 
+def fencing_token(item: Range, index: int) -> int:
+    """Returns one of the fencing tokens of a range.
+
+    Args:
+      item: The range.
+      index: Number of the token, below TOKENS_PER_FENCE; a later one is higher.
+    """
+    return item.fence + PARTS * index
+
+
 def split_range(
     table: OwnershipTable, fence: int, at: Sequence[int]
 ) -> OwnershipTable:
@@ -365,7 +381,7 @@
     """
     part = part_of(held.first)
     next_fences = list(table.next_fences)
-    next_fences[part] = max(next_fences[part], held.fence + PARTS)
+    next_fences[part] = max(next_fences[part], held.fence + FENCE_STEP)
     ranges = [held]
     for item in table.ranges:
         if item.last < held.first or item.first > held.last:
--- a/packages/assignment/tests/test_exploration.py
+++ b/packages/assignment/tests/test_exploration.py
@@ -7,6 +7,7 @@
 import testtools
 
 from waxwinglever_assignment import fleet_view
+from waxwinglever_assignment import grants
 from waxwinglever_assignment import holds
 from waxwinglever_assignment import loads
 from waxwinglever_assignment import planner
@@ -28,6 +29,7 @@
 # Seeds of the days of one lost record each.
 LOST_TABLE_SEEDS = range(1, 7)
 LOST_VOTERS_SEEDS = range(1, 4)
+RESTARTS_SEEDS = range(1, 7)
 # Age of the new list of voters when it is lost. The late voters promise by
 # then.
 LOST_VOTERS_AGE_S = 10.0
@@ -52,7 +54,7 @@
 ) -> None:
     """Starts or ends one random fault other than a restore of the store."""
     node = simulation.nodes[rng.choice(sorted(simulation.nodes))]
-    kind = rng.randrange(11)
+    kind = rng.randrange(12)
     if kind == 0:
         simulation.store.down = not simulation.store.down
     elif kind == 1:
@@ -75,9 +77,12 @@
     elif kind == 7:
         simulation.late_grant_share = 0.3 - simulation.late_grant_share
     elif kind == 8:
-        fleet_simulation.restart_server(node)
+        fleet_simulation.restart_server(simulation, node.server)
     elif kind == 9:
         simulation.lost_release_share = 0.5 - simulation.lost_release_share
+    elif kind == 10:
+        # The connections to the backend server are reset.
+        node.connected_to = 0
     else:
         memory_leased_store.delete_key(simulation.store, fleet_view.PLANNER)
 
@@ -218,6 +223,27 @@
     return simulation
 
 
+def simulate_restarts(seed: int) -> fleet_simulation.Simulation:
+    """Restarts daemons shortly before or after their backend servers."""
+    rng = random.Random(seed)
+    simulation = fleet_simulation.new_simulation(seed, NODES)
+    fleet_simulation.run_for(simulation, 4.0)
+    for _ in range(6):
+        node = simulation.nodes[rng.choice(sorted(simulation.nodes))]
+        restarts = [
+            lambda node=node: fleet_simulation.restart_server(
+                simulation, node.server
+            ),
+            lambda node=node: fleet_simulation.start_daemon(simulation, node),
+        ]
+        rng.shuffle(restarts)
+        for restart in restarts:
+            restart()
+            fleet_simulation.run_for(simulation, rng.uniform(0.0, 1.0))
+        fleet_simulation.run_for(simulation, 2.0)
+    return simulation
+
+
 def longest_gap_s(simulation: fleet_simulation.Simulation) -> float:
     """Returns the longest time that a bucket has no holder from now on.
 
@@ -241,6 +267,7 @@
         for seed in SEEDS:
             simulation = simulate(seed)
             self.assertEqual([], simulation.overlaps, seed)
+            self.assertEqual([], simulation.low_fences, seed)
             self.assertLess(longest_gap_s(simulation), MAX_GAP_S, seed)
 
     def test_restored_store_leads_to_no_second_holder(self):
@@ -266,6 +293,14 @@
             self.assertEqual([], simulation.overlaps, seed)
             self.assertEqual([], simulation.low_fences, seed)
 
+    def test_restarts_of_a_daemon_and_its_server_lead_to_no_low_fence(self):
+        # The next run of the daemon hears late announcements of the run of the
+        # server that has ended.
+        for seed in RESTARTS_SEEDS:
+            simulation = simulate_restarts(seed)
+            self.assertEqual([], simulation.overlaps, seed)
+            self.assertEqual([], simulation.low_fences, seed)
+
     def test_lost_change_of_voters_leads_to_no_second_holder(self):
         # Owners ask the new voters, the planner those of the restored list.
         for seed in LOST_VOTERS_SEEDS:
@@ -298,6 +333,21 @@
                 found = any(simulate(seed).overlaps for seed in PLANTED_SEEDS)
             self.assertTrue(found, name)
 
+    def test_planted_faults_around_a_restarted_server_are_found(self):
+        # A run that is not heard yet gets the tokens of the one before, from
+        # the daemon that granted them or from its next run.
+        planted = (
+            (grants, "use_fence", lambda _, item: item),
+            (fleet_view, "run_id", lambda boot_id, _: boot_id),
+        )
+        for module, name, value in planted:
+            with mock.patch.object(module, name, value):
+                found = any(
+                    simulate_restarts(seed).low_fences
+                    for seed in RESTARTS_SEEDS
+                )
+            self.assertTrue(found, name)
+
     def test_planted_faults_after_a_restore_are_found(self):
         def valid_until_s(session, _):
             return sessions.valid_until_s(session)
--- a/packages/assignment/tests/test_fleet_view.py
+++ b/packages/assignment/tests/test_fleet_view.py
@@ -13,6 +13,19 @@
 OPEN = frozenset()
 
 
+class RunIdTest(testtools.TestCase):
+    """Guards against a restarted daemon that takes its ranges for granted."""
+
+    def test_run_id_names_both_runs(self):
+        first = fleet_view.run_id("n1@5", "a")
+        self.assertNotEqual(first, fleet_view.run_id("n1@5", "b"))
+        self.assertNotEqual(first, fleet_view.run_id("n1@6", "a"))
+        self.assertEqual("n1@5", fleet_view.run_boot_id(first))
+
+    def test_boot_id_of_an_entry_of_an_earlier_version(self):
+        self.assertEqual("n1@5", fleet_view.run_boot_id("n1@5"))
+
+
 @pytest.mark.usefixtures("build")
 class CandidatesTest(testtools.TestCase):
     """Guards against work of each request that grows with the fleet.
--- a/packages/assignment/tests/test_grants.py
+++ b/packages/assignment/tests/test_grants.py
@@ -35,13 +35,18 @@
       granted: Fence and seconds of each grant.
       released: Fence of each release.
       silent: Whether calls fail as if they were not answered.
+      process: Number of the process that connections reach.
     """
 
     granted: list[tuple[int, float]] = attrs.field(factory=list)
     released: list[int] = attrs.field(factory=list)
     silent: bool = False
+    process: int = 1
 
-    def grant(self, item, hold_s, _):
+    def connect(self, _):
+        return self.process
+
+    def grant(self, item, hold_s, *_):
         self.granted.append((item.fence, hold_s))
         if self.silent:
             raise exceptions.BackendUnavailable("no answer", "none")
@@ -71,7 +76,9 @@
             self.node.fleet,
             self.node.session,
             self.node.session.store,
-            grants.GrantCalls(self.server.grant, self.server.release),
+            grants.GrantCalls(
+                self.server.connect, self.server.grant, self.server.release
+            ),
             self.build.ignore,
             now=self.clock,
             executor=INLINE_EXECUTOR,
@@ -142,6 +149,97 @@
         grants.renew_grants(self.grant_manager)
         self.assertEqual(2 * count, len(self.server.granted))
 
+    def first_tokens(self) -> list[int]:
+        """Returns the tokens under which the first range was granted."""
+        step = tables.FENCE_STEP
+        return [
+            token
+            for token, _ in self.server.granted
+            if token // step == FIRST_FENCE // step and not token % tables.PARTS
+        ]
+
+    def test_other_process_gets_higher_tokens_at_once(self):
+        # A backend server that had crashed and was not heard yet got the grants
+        # of the run before, under the same tokens.
+        grants.renew_grants(self.grant_manager)
+        self.server.process = 2
+        for _ in range(2):
+            grants.renew_grants(self.grant_manager)
+        token = FIRST_FENCE + tables.PARTS
+        self.assertEqual([FIRST_FENCE, token], self.first_tokens())
+        self.plan_first_move()
+        handovers.hand_over_ranges(self.grant_manager)
+        self.assertEqual([token], self.server.released)
+        moved = self.table().ranges[0]
+        self.assertGreater(
+            moved.fence,
+            FIRST_FENCE + tables.PARTS * (tables.TOKENS_PER_FENCE - 1),
+        )
+
+    def test_unanswered_grant_counts_for_the_process_that_may_have_it(self):
+        self.server.silent = True
+        grants.renew_grants(self.grant_manager)
+        self.server.silent = False
+        self.server.process = 2
+        grants.renew_grants(self.grant_manager)
+        self.assertEqual(
+            [FIRST_FENCE, FIRST_FENCE + tables.PARTS], self.first_tokens()
+        )
+
+    def test_range_whose_tokens_are_used_up_is_claimed(self):
+        grants.renew_grants(self.grant_manager)
+        self.server.process = tables.TOKENS_PER_FENCE
+        grants.renew_grants(self.grant_manager)
+        self.server.process += 1
+        for _ in range(2):
+            grants.renew_grants(self.grant_manager)
+            self.refresh()
+        last = FIRST_FENCE + tables.PARTS * (tables.TOKENS_PER_FENCE - 1)
+        self.assertEqual([FIRST_FENCE, last], self.first_tokens())
+        fence = FIRST_FENCE + tables.FENCE_STEP
+        self.assertEqual(fence, self.table().ranges[0].fence)
+        self.assertIn(fence, [token for token, _ in self.server.granted])
+
+    def test_grant_without_a_connection_is_not_held(self):
+        def grant(*_):
+            raise grants.NotSent("no connection", "none")
+
+        self.grant_manager.hold_book.holds.clear()
+        self.grant_manager.grant_calls = grants.GrantCalls(
+            self.server.connect, grant, self.server.release
+        )
+        grants.renew_grants(self.grant_manager)
+        self.assertFalse(
+            grants.may_be_held(self.grant_manager, 0, tables.LAST_SHARD)
+        )
+
+    def test_nothing_is_granted_while_nobody_listens(self):
+        def connect(_):
+            raise exceptions.BackendUnavailable("refused", "none")
+
+        self.grant_manager.grant_calls = grants.GrantCalls(
+            connect, self.server.grant, self.server.release
+        )
+        grants.renew_grants(self.grant_manager)
+        self.assertEqual([], self.server.granted)
+
+    def test_restarted_daemon_grants_under_new_fences(self):
+        # It can't know which run of the server got the grants of its previous
+        # run, and a late announcement may come from one that has ended.
+        member = self.node.session.member
+        for number, incarnation in enumerate(("1", "2", "2")):
+            self.node.session.member = attrs.evolve(
+                member, incarnation=incarnation
+            )
+            sessions.publish_server(self.node.session, "n1@1")
+            sessions.confirm(self.node.session)
+            for _ in range(2):
+                self.refresh()
+                grants.renew_grants(self.grant_manager)
+            fence = FIRST_FENCE + min(2, number + 1) * tables.FENCE_STEP
+            self.assertEqual(fence, self.table().ranges[0].fence)
+            self.assertEqual(fence, grants.held_fence(self.grant_manager, 0))
+
     def test_only_own_ranges_are_granted(self):
         grants.renew_grants(self.grant_manager)
         # n1 owns the first half: one range in each of four parts.
@@ -216,7 +314,7 @@
             return "token"
 
         self.grant_manager.grant_calls = grants.GrantCalls(
-            self.server.grant, release
+            self.server.connect, self.server.grant, release
         )
         self.grant_manager.executor = futures.ThreadPoolExecutor(2)
         handing_over = threading.Thread(
@@ -253,7 +351,7 @@
             return "token"
 
         self.grant_manager.grant_calls = grants.GrantCalls(
-            self.server.grant, release
+            self.server.connect, self.server.grant, release
         )
         self.grant_manager.executor = futures.ThreadPoolExecutor(2)
         self.memory_store.calls.clear()
@@ -363,7 +461,7 @@
             return "token"
 
         self.grant_manager.grant_calls = grants.GrantCalls(
-            self.server.grant, release
+            self.server.connect, self.server.grant, release
         )
         handovers.hand_over_ranges(self.grant_manager)
         self.assertEqual(
@@ -429,7 +527,7 @@
         self.refresh()
         grants.renew_grants(self.grant_manager)
         claimed = self.table().ranges[0]
-        fence = FIRST_FENCE + tables.PARTS
+        fence = FIRST_FENCE + tables.FENCE_STEP
         self.assertEqual(("n1@2", fence), (claimed.instance, claimed.fence))
         self.assertEqual(fence, grants.held_fence(self.grant_manager, 100))
 
@@ -537,7 +635,9 @@
             calls.append("release")
             return "token"
 
-        self.grant_manager.grant_calls = grants.GrantCalls(grant, release)
+        self.grant_manager.grant_calls = grants.GrantCalls(
+            self.server.connect, grant, release
+        )
         renewing = threading.Thread(
             target=grants.renew_grants, args=[self.grant_manager]
         )
@@ -575,7 +675,7 @@
             return token
 
         self.grant_manager.grant_calls = grants.GrantCalls(
-            self.server.grant, release_beside
+            self.server.connect, self.server.grant, release_beside
         )
         handovers.hand_over_ranges(self.grant_manager)
 
--- a/packages/relay/src/waxwinglever_relay/connection_pool.py
+++ b/packages/relay/src/waxwinglever_relay/connection_pool.py
@@ -216,7 +216,7 @@
 
 
 def take_idle(
-    client: Client, address: str, request_id: str
+    client: Client, address: str, request_id: str, oldest_first: bool = False
 ) -> PooledConnection | None:
     """Returns an idle connection that is still open, or None.
 
@@ -224,14 +224,17 @@
       client: The connection pool.
       address: host:port.
       request_id: If not empty, the connection has not carried this id.
+      oldest_first: Whether to take the one that was idle for longest, so that
+        none is idle for too long while calls are made.
     """
     while True:
         with client.lock:
             idle = client.idle_connections.get(address, [])
+            order = range(len(idle))
             index = next(
                 (
                     i
-                    for i in reversed(range(len(idle)))
+                    for i in (order if oldest_first else reversed(order))
                     if request_id not in idle[i].request_ids
                 ),
                 None,
@@ -239,14 +242,32 @@
             if index is None:
                 return None
             found = idle.pop(index)
-        age_s = clock.boottime_s() - found.idle_since_s
-        # A readable idle connection was closed by the server, or has data that
-        # belongs to no request.
-        if age_s < client.max_idle_s and not is_readable(found.connection.sock):
+        if is_usable(client, found):
             return found
         found.connection.close()
 
 
+def is_usable(client: Client, pooled: PooledConnection) -> bool:
+    """Returns whether an idle connection can carry a request.
+
+    A readable one was closed by the server, or has data that belongs to no
+    request.
+    """
+    age_s = clock.boottime_s() - pooled.idle_since_s
+    return age_s < client.max_idle_s and not is_readable(pooled.connection.sock)
+
+
+def count_idle(client: Client, address: str) -> int:
+    """Closes idle connections that can't be used; returns how many are left."""
+    with client.lock:
+        idle = client.idle_connections.get(address, [])
+        ended = [item for item in idle if not is_usable(client, item)]
+        idle[:] = [item for item in idle if item not in ended]
+    for item in ended:
+        item.connection.close()
+    return len(idle)
+
+
 def return_idle(client: Client, address: str, pooled: PooledConnection) -> None:
     """Returns a connection to the pool and closes those idle for too long."""
     replaced = None
--- a/packages/relay/src/waxwinglever_relay/http_client.py
+++ b/packages/relay/src/waxwinglever_relay/http_client.py
@@ -174,10 +174,80 @@
             connection_pool.open_connection(client, address, connect_timeout_s)
         )
         deadline_s += clock.boottime_s() - started_s
-    is_reused = pooled.was_used
-    pooled.was_used = True
     if request_id:
         pooled.request_ids[request_id] = deadline_s
+    return send_on(
+        client,
+        address,
+        pooled,
+        method,
+        target,
+        headers,
+        body,
+        deadline_s,
+        caller,
+        check,
+        stall_s,
+        max_bytes,
+        single_use,
+        check_server,
+        framed,
+        budget,
+        share_class,
+    )
+
+
+def send_on(
+    client: connection_pool.Client,
+    address: str,
+    pooled: connection_pool.PooledConnection,
+    method: str,
+    target: str,
+    headers: Mapping[str, str],
+    body: messages.Body,
+    deadline_s: float,
+    caller: messages.CallerConnection | None = None,
+    check: Callable[[Response], bool] = lambda _: True,
+    stall_s: float | None = None,
+    max_bytes: int = MAX_RESPONSE_BYTES,
+    single_use: bool = False,
+    check_server: bool = False,
+    framed: bool = False,
+    budget: memory_budget.Budget | None = None,
+    share_class: str = "",
+) -> Response:
+    """Sends a request on one connection and returns its complete response.
+
+    The connection then goes to the idle ones of the pool, or is closed.
+
+    Args:
+      client: The connection pool.
+      address: host:port that the connection reaches.
+      pooled: The connection, which is in no pool.
+      method: See send_request, also for the arguments that follow.
+      target: Path and query.
+      headers: All headers except Content-Length.
+      body: The whole body.
+      deadline_s: When to give up, on the boot clock.
+      caller: The connection of the caller, if any.
+      check: Called with the complete response.
+      stall_s: How long a response that has begun may pause.
+      max_bytes: How many bytes the response may have, head included.
+      single_use: Whether the connection carries nothing else.
+      check_server: Whether the server must still accept connections.
+      framed: Whether the server marks the end of each response.
+      budget: What a long response draws on.
+      share_class: Class by which it shares the budget with other responses.
+
+    Raises:
+      ConnectFailed: The request can't be encoded; nothing was sent.
+      ResponseLost: The response is missing or incomplete, or `check` raised it.
+      ResponseTimeout: No complete response arrived in time.
+      ResponseTooLarge: The response has more than `max_bytes`.
+      CallerDisconnected: The caller closed its connection.
+    """
+    is_reused = pooled.was_used
+    pooled.was_used = True
     conn = pooled.connection
     # The connection drops its socket when a response ends with it.
     sock = conn.sock
--- a/packages/relay/src/waxwinglever_relay/notices.py
+++ b/packages/relay/src/waxwinglever_relay/notices.py
@@ -43,5 +43,6 @@
         for name, notice in list(notices.items())
         if notice.leaving
         and name in candidates.members
-        and candidates.members[name].instance == notice.boot_id
+        and fleet_view.run_boot_id(candidates.members[name].instance)
+        == notice.boot_id
     ]
--- a/packages/standins/src/waxwinglever_standins/fleet_simulation.py
+++ b/packages/standins/src/waxwinglever_standins/fleet_simulation.py
@@ -41,6 +41,11 @@
 # and step, and for how long.
 WORK_PROBABILITY = 0.05
 WORK_RANGE_S = (0.05, 1.5)
+# Longest time from the start of a backend server to its first announcement. Its
+# daemon hears late announcements of the run before until then.
+MAX_UNHEARD_S = 3.0
+# How often a daemon notices that its connections have ended before it uses one.
+NOTICED_PROBABILITY = 0.5
 # Copies of the store are kept this long, to be restored from.
 COPIES_KEPT_S = 12.0
 INLINE_EXECUTOR = inline_executor.InlineExecutor()
@@ -68,6 +73,8 @@
     Attributes:
       name: Name of its node.
       boot_number: Number of its current run; a restart increases it.
+      heard_boot_number: Number of the run that announced itself last.
+      announced_s: When the current run announces itself first.
       granted_ranges: Shard ranges that it holds.
       work: Its work on shards, also on those released meanwhile.
       late_grants: Grants that are applied later: the time, the range, and
@@ -76,6 +83,8 @@
 
     name: str
     boot_number: int = 1
+    heard_boot_number: int = 1
+    announced_s: float = float("-inf")
     granted_ranges: list[granted_ranges_module.GrantedRange] = attrs.Factory(
         list
     )
@@ -99,6 +108,9 @@
       peers_cut: Whether the daemon can't reach other daemons.
       first_announcement_s: When the server first announces itself to the
         daemon.
+      process: Number of the process of the server that the daemon's connections
+        reach.
+      connected_to: Boot number of that process; 0 without a connection.
       replica_lags_until_s: Until when the replica gets no updates from its
         reader.
       session: The daemon's session in the store.
@@ -118,6 +130,8 @@
     store_cut: bool = False
     peers_cut: bool = False
     first_announcement_s: float = 0.0
+    process: int = 0
+    connected_to: int = 0
     replica_lags_until_s: float = float("-inf")
     session: sessions.Session | None = None
     replica: replicas.Replica | None = None
@@ -148,7 +162,7 @@
       low_fences: Descriptions of grants whose fence is not above all fences
         under which other servers held the shards.
       highest_fences: Highest fence under which a bucket was granted, and the
-        name of the server.
+        run of the server that got it.
       copies: Time and content of earlier copies of the store.
       delayed_commits: Commits that the store applies later: the time and the
         arguments of the call.
@@ -214,6 +228,7 @@
         return simulation.now_s
 
     node.up = True
+    node.process = node.connected_to = 0
     node.replica = replicas.Replica(store, fleet_view.PREFIX, log, now=now)
     key = fleet_view.entry_key(node.name)
     node.entry = replicas.Replica(store, key, log, now=now)
@@ -270,9 +285,16 @@
     )
 
 
-def server_boot_id(node: Node) -> str:
-    """Returns the name of a backend server with its boot number."""
-    return f"{node.name}@{node.server.boot_number}"
+def server_boot_id(server: Server) -> str:
+    """Returns the id of the current run of a backend server."""
+    return f"{server.name}@{server.boot_number}"
+
+
+def heard_boot_id(simulation: Simulation, server: Server) -> str:
+    """Returns the id of the run that announced itself last."""
+    if simulation.now_s >= server.announced_s:
+        server.heard_boot_number = server.boot_number
+    return f"{server.name}@{server.heard_boot_number}"
 
 
 def request_promises(simulation: Simulation, node: Node, era: int) -> bool:
@@ -406,7 +428,23 @@
 def backend_calls(simulation: Simulation, node: Node) -> grants.GrantCalls:
     """Returns a node's calls to its backend server; some grants come late."""
 
-    def grant(item: tables.Range, hold_s: float, _: float) -> None:
+    def connect(_: int) -> int:
+        is_noticed = simulation.call_rng.random() < NOTICED_PROBABILITY
+        if not node.connected_to or (
+            node.connected_to != node.server.boot_number and is_noticed
+        ):
+            node.process += 1
+            node.connected_to = node.server.boot_number
+        return node.process
+
+    def grant(
+        item: tables.Range, hold_s: float, _: float, process: int
+    ) -> None:
+        if process != node.process or not node.connected_to:
+            raise grants.NotSent("not connected", "none")
+        if node.connected_to != node.server.boot_number:
+            node.connected_to = 0
+            raise exceptions.BackendUnavailable("the process ended", "none")
         granted_range = granted_ranges_module.GrantedRange(
             item.first,
             item.last,
@@ -437,7 +475,7 @@
             raise exceptions.BackendUnavailable("no answer", "none")
         return "token"
 
-    return grants.GrantCalls(grant, release)
+    return grants.GrantCalls(connect, grant, release)
 
 
 def apply_grant(
@@ -510,11 +548,15 @@
                 )
 
 
-def restart_server(node: Node) -> None:
-    """Restarts the backend server of a node; it holds nothing."""
-    node.server.boot_number += 1
-    node.server.granted_ranges.clear()
-    node.server.work.clear()
+def restart_server(simulation: Simulation, server: Server) -> None:
+    """Restarts a backend server; it holds nothing and is heard later."""
+    heard_boot_id(simulation, server)
+    server.boot_number += 1
+    server.announced_s = simulation.now_s + simulation.call_rng.uniform(
+        0.0, MAX_UNHEARD_S
+    )
+    server.granted_ranges.clear()
+    server.work.clear()
 
 
 def record_fences(
@@ -522,21 +564,22 @@
     server: Server,
     granted_range: granted_ranges_module.GrantedRange,
 ) -> None:
-    """Records a grant whose fence another server has reached for its shards."""
+    """Records a grant whose fence another run has reached for its shards."""
+    run = server_boot_id(server)
     for bucket in range(
         loads.bucket_of(granted_range.first),
         loads.bucket_of(granted_range.last) + 1,
     ):
         fence, holder = simulation.highest_fences.get(bucket, (-1, ""))
-        if holder != server.name and fence >= granted_range.fence:
+        if holder != run and fence >= granted_range.fence:
             simulation.low_fences.append(
-                f"{simulation.now_s:.2f}: {server.name}"
+                f"{simulation.now_s:.2f}: {run}"
                 f" fence {granted_range.fence} after {holder} fence {fence}"
             )
         elif granted_range.fence > fence:
             simulation.highest_fences[bucket] = (
                 granted_range.fence,
-                server.name,
+                run,
             )
 
 
@@ -602,9 +645,9 @@
     replica = node.replica
     session = node.session
     if simulation.now_s >= node.first_announcement_s:
-        sessions.update_member(
+        sessions.publish_server(
             session,
-            instance=server_boot_id(node),
+            heard_boot_id(simulation, node.server),
             instance_id=node.name,
             state=fleet_view.READY,
         )
