Open further connections for grants between renewals

A full backend server takes a new connection only when it has room, so opening several before the first grant could delay the renewal of all ranges by up to 0.25 s for each. One more connection is now opened behind each round of renewals, up to as many as the round had grants. A grant that waits for a connection is shortened by its wait, as its hold runs from its arrival and must end with the session.

--- a/packages/assignment/src/waxwinglever_assignment/grants.py
+++ b/packages/assignment/src/waxwinglever_assignment/grants.py
@@ -59,7 +59,7 @@
     Attributes:
       connect: Returns the number of the process of the backend server that
         grants reach, which rises whenever it can't be shown to be the same one.
-        Called with the number of grants that follow.
+      add_connection: Prepares for a number of grants at the same time.
       grant: Grants a range; called with the range, the seconds to hold it, the
         timeout of the call and the number of the process that it is meant for.
         Raises FenceTooLow, or NotSent if that process can't be reached.
@@ -67,7 +67,8 @@
         call. Returns the handover token.
     """
 
-    connect: Callable[[int], int]
+    connect: Callable[[], int]
+    add_connection: Callable[[int], None]
     grant: Callable[[tables.Range, float, float, int], None]
     release: Callable[[tables.Range, float], str]
 
@@ -332,10 +333,7 @@
                 if not item.to_node
                 and item.fence not in grant_manager.releasing
             ]
-        expiring = [
-            item for item in staying if is_expiring(grant_manager, item)
-        ]
-        if not staying or not reach_process(grant_manager, len(expiring)):
+        if not staying or not reach_process(grant_manager):
             return
         used_up = {
             item.fence
@@ -348,31 +346,27 @@
         due = [
             item
             for item in staying
-            if item.fence not in used_up
-            and (
-                item in expiring
-                or not is_granted_to_process(grant_manager, item)
-            )
+            if item.fence not in used_up and is_due(grant_manager, item)
         ]
         list(
             grant_manager.executor.map(
                 lambda item: grant(grant_manager, item), due
             )
         )
+    try:
+        grant_manager.grant_calls.add_connection(len(due))
+    except exceptions.BackendUnavailable as error:
+        grant_manager.log("grants-not-sent", error=error.message)
 
 
-def reach_process(grant_manager: GrantManager, calls: int) -> bool:
+def reach_process(grant_manager: GrantManager) -> bool:
     """Finds out which process of the backend server grants would reach.
 
-    Args:
-      grant_manager: State of the grants.
-      calls: How many grants may follow.
-
     Returns:
       Whether there is one.
     """
     try:
-        process = grant_manager.grant_calls.connect(calls)
+        process = grant_manager.grant_calls.connect()
     except exceptions.BackendUnavailable as error:
         grant_manager.log("grants-not-sent", error=error.message)
         return False
@@ -380,35 +374,29 @@
         grant_manager.log(
             "grants-reconnected",
             process=process,
+            before=grant_manager.process,
             instance=grant_manager.instance,
-            ranges=calls,
         )
         grant_manager.process = process
     return True
 
 
-def is_expiring(grant_manager: GrantManager, item: tables.Range) -> bool:
-    """Returns whether the grant of a range ends soon, or there is none."""
+def is_due(grant_manager: GrantManager, item: tables.Range) -> bool:
+    """Returns whether a range should be granted or renewed now.
+
+    A process other than the one that got the last grant may hold nothing.
+    """
     due_s = grant_manager.now() + RENEW_BELOW_S
     with grant_manager.lock:
+        use = grant_manager.fence_uses.get(item.fence)
         return (
             grant_manager.ranges.get(item.fence) != item
             or grant_manager.grant_end_s[item.fence] < due_s
+            or use is None
+            or use.newest != grant_manager.process
         )
 
 
-def is_granted_to_process(
-    grant_manager: GrantManager, item: tables.Range
-) -> bool:
-    """Returns whether the present process got the last grant of a range.
-
-    Any other process may hold nothing.
-    """
-    with grant_manager.lock:
-        use = grant_manager.fence_uses.get(item.fence)
-    return use is not None and use.newest == grant_manager.process
-
-
 def next_token_index(grant_manager: GrantManager, item: tables.Range) -> int:
     """Returns the number of the token of a range for the present process."""
     with grant_manager.lock:
--- a/packages/assignment/tests/test_grants.py
+++ b/packages/assignment/tests/test_grants.py
@@ -43,9 +43,12 @@
     silent: bool = False
     process: int = 1
 
-    def connect(self, _):
+    def connect(self):
         return self.process
 
+    def add_connection(self, _):
+        pass
+
     def grant(self, item, hold_s, *_):
         self.granted.append((item.fence, hold_s))
         if self.silent:
@@ -77,7 +80,10 @@
             self.node.session,
             self.node.session.store,
             grants.GrantCalls(
-                self.server.connect, self.server.grant, self.server.release
+                self.server.connect,
+                self.server.add_connection,
+                self.server.grant,
+                self.server.release,
             ),
             self.build.ignore,
             now=self.clock,
@@ -206,7 +212,10 @@
 
         self.grant_manager.hold_book.holds.clear()
         self.grant_manager.grant_calls = grants.GrantCalls(
-            self.server.connect, grant, self.server.release
+            self.server.connect,
+            self.server.add_connection,
+            grant,
+            self.server.release,
         )
         grants.renew_grants(self.grant_manager)
         self.assertFalse(
@@ -214,11 +223,14 @@
         )
 
     def test_nothing_is_granted_while_nobody_listens(self):
-        def connect(_):
+        def connect():
             raise exceptions.BackendUnavailable("refused", "none")
 
         self.grant_manager.grant_calls = grants.GrantCalls(
-            connect, self.server.grant, self.server.release
+            connect,
+            self.server.add_connection,
+            self.server.grant,
+            self.server.release,
         )
         grants.renew_grants(self.grant_manager)
         self.assertEqual([], self.server.granted)
@@ -314,7 +326,10 @@
             return "token"
 
         self.grant_manager.grant_calls = grants.GrantCalls(
-            self.server.connect, self.server.grant, release
+            self.server.connect,
+            self.server.add_connection,
+            self.server.grant,
+            release,
         )
         self.grant_manager.executor = futures.ThreadPoolExecutor(2)
         handing_over = threading.Thread(
@@ -351,7 +366,10 @@
             return "token"
 
         self.grant_manager.grant_calls = grants.GrantCalls(
-            self.server.connect, self.server.grant, release
+            self.server.connect,
+            self.server.add_connection,
+            self.server.grant,
+            release,
         )
         self.grant_manager.executor = futures.ThreadPoolExecutor(2)
         self.memory_store.calls.clear()
@@ -461,7 +479,10 @@
             return "token"
 
         self.grant_manager.grant_calls = grants.GrantCalls(
-            self.server.connect, self.server.grant, release
+            self.server.connect,
+            self.server.add_connection,
+            self.server.grant,
+            release,
         )
         handovers.hand_over_ranges(self.grant_manager)
         self.assertEqual(
@@ -636,7 +657,7 @@
             return "token"
 
         self.grant_manager.grant_calls = grants.GrantCalls(
-            self.server.connect, grant, release
+            self.server.connect, self.server.add_connection, grant, release
         )
         renewing = threading.Thread(
             target=grants.renew_grants, args=[self.grant_manager]
@@ -675,7 +696,10 @@
             return token
 
         self.grant_manager.grant_calls = grants.GrantCalls(
-            self.server.connect, self.server.grant, release_beside
+            self.server.connect,
+            self.server.add_connection,
+            self.server.grant,
+            release_beside,
         )
         handovers.hand_over_ranges(self.grant_manager)
 
--- a/packages/relay/src/waxwinglever_relay/process_connections.py
+++ b/packages/relay/src/waxwinglever_relay/process_connections.py
@@ -57,42 +57,55 @@
     changed: threading.Condition = attrs.Factory(threading.Condition)
 
 
-def connect(connections: ProcessConnections, calls: int) -> int:
+def connect(connections: ProcessConnections) -> int:
     """Returns the number of the process that calls reach.
 
     It rises when no earlier connection is left. One thread at a time may call
     this.
 
-    Args:
-      connections: The connections.
-      calls: How many calls follow, to open connections for them.
-
     Raises:
       ConnectFailed: None is left, and none could be opened.
     """
     with connections.changed:
-        count = connections.in_use + connection_pool.count_idle(
-            connections.client, connections.address
-        )
-        if not count:
-            close_unconfirmed(connections)
+        if not count_confirmed(connections):
+            for pooled in connections.unconfirmed:
+                pooled.connection.close()
+            connections.unconfirmed.clear()
             pooled = open_connection(connections)
             connections.process += 1
             connection_pool.return_idle(
                 connections.client, connections.address, pooled
             )
-            count = 1
-        wanted = max(MIN_CONNECTIONS, min(calls, connections.max_connections))
-        missing = wanted - count - len(connections.unconfirmed)
-    for _ in range(missing):
-        try:
-            pooled = open_connection(connections)
-        except connection_pool.ConnectFailed:
-            # The process has ended, or calls go over fewer connections.
-            break
+        return connections.process
+
+
+def add_connection(connections: ProcessConnections, calls: int) -> None:
+    """Opens one more connection if there are too few.
+
+    It is used once it is known to reach the same process. Called between calls,
+    as a busy server may take long to accept it.
+
+    Args:
+      connections: The connections.
+      calls: How many calls there may be at the same time.
+
+    Raises:
+      ConnectFailed: It could not be opened.
+    """
+    wanted = max(MIN_CONNECTIONS, min(calls, connections.max_connections))
+    with connections.changed:
+        count = count_confirmed(connections) + len(connections.unconfirmed)
+    if count < wanted:
+        pooled = open_connection(connections)
         with connections.changed:
             connections.unconfirmed.append(pooled)
-    return connections.process
+
+
+def count_confirmed(connections: ProcessConnections) -> int:
+    """Returns how many connections to the process are open; needs the lock."""
+    return connections.in_use + connection_pool.count_idle(
+        connections.client, connections.address
+    )
 
 
 def send(
@@ -101,7 +114,7 @@
     method: str,
     target: str,
     headers: Mapping[str, str],
-    body: messages.Body,
+    make_body: Callable[[float], messages.Body],
     timeout_s: float,
     check: Callable[[http_client.Response], bool],
 ) -> http_client.Response:
@@ -113,7 +126,8 @@
       method: HTTP method.
       target: Path and query.
       headers: All headers except Content-Length.
-      body: The whole body.
+      make_body: Returns the whole body; called with how long the call waited
+        for a connection, in seconds.
       timeout_s: Time limit.
       check: See http_client.send_request.
 
@@ -123,7 +137,8 @@
       ResponseLost: The response is missing, incomplete or not the right one.
     """
     deadline_s = clock.boottime_s() + timeout_s
-    pooled, opened_before = take(connections, process, deadline_s)
+    pooled, opened_before, waited_s = take(connections, process, deadline_s)
+    body = make_body(waited_s)
     is_answered = False
     try:
         response = http_client.send_on(
@@ -149,15 +164,17 @@
 
 def take(
     connections: ProcessConnections, process: int, deadline_s: float
-) -> tuple[connection_pool.PooledConnection, tuple]:
+) -> tuple[connection_pool.PooledConnection, tuple, float]:
     """Takes a connection to a process, and waits for one if all are in use.
 
     Returns:
-      The connection, and the unconfirmed ones that were opened before.
+      The connection, the unconfirmed ones that were opened before, and the
+      seconds of the wait.
 
     Raises:
       ProcessUnreachable: None is left, or none became free in time.
     """
+    waited_s = 0.0
     with connections.changed:
         while connections.process == process:
             # The connection is looked at after the unconfirmed ones, so that
@@ -168,11 +185,12 @@
             )
             if pooled is not None:
                 connections.in_use += 1
-                return pooled, opened_before
-            left_s = deadline_s - clock.boottime_s()
-            if not connections.in_use or left_s <= 0:
+                return pooled, opened_before, waited_s
+            began_s = clock.boottime_s()
+            if not connections.in_use or began_s >= deadline_s:
                 break
-            connections.changed.wait(left_s)
+            connections.changed.wait(deadline_s - began_s)
+            waited_s += clock.boottime_s() - began_s
     raise ProcessUnreachable(
         f"no connection to process {process} at {connections.address} is free",
         "the call is repeated when another connection is open",
@@ -200,10 +218,3 @@
             connections.client.connect_timeout_s,
         )
     )
-
-
-def close_unconfirmed(connections: ProcessConnections) -> None:
-    """Closes the unconfirmed connections; requires the lock."""
-    for pooled in connections.unconfirmed:
-        pooled.connection.close()
-    connections.unconfirmed.clear()
--- a/packages/relay/tests/test_process_connections.py
+++ b/packages/relay/tests/test_process_connections.py
@@ -89,7 +89,9 @@
         return self.start(self.process.port)
 
     def connect(self, calls: int = 1) -> int:
-        return process_connections.connect(self.connections, calls)
+        process = process_connections.connect(self.connections)
+        process_connections.add_connection(self.connections, calls)
+        return process
 
     def send(self, process: int, target: str = "/"):
         return process_connections.send(
@@ -98,7 +100,7 @@
             "POST",
             target,
             {"Host": "h"},
-            b"",
+            lambda _: b"",
             TIMEOUT_S,
             lambda _: True,
         )
@@ -124,27 +126,19 @@
         self.send(first + 1, "/second")
         self.assertEqual(["/second"], following.requests)
 
-    def test_process_that_ends_before_the_first_call_is_not_replaced(self):
+    def test_next_process_is_not_taken_for_one_that_never_answered(self):
         # The second connection was opened to the next process already.
-        first = self.connect(calls=1)
-        unconfirmed = self.connections.unconfirmed[:]
+        first = process_connections.connect(self.connections)
         following = self.restart()
-        self.connections.unconfirmed[:] = []
-        self.connect_unconfirmed()
+        process_connections.add_connection(self.connections, 1)
+        self.assertEqual(1, len(self.connections.unconfirmed))
         self.assert_unreachable(first)
         self.assertEqual([], following.requests)
-        for pooled in unconfirmed:
-            pooled.connection.close()
-
-    def connect_unconfirmed(self):
-        self.connections.unconfirmed.append(
-            process_connections.open_connection(self.connections)
-        )
 
     def test_silent_connection_confirms_none_that_was_opened_later(self):
         # A cut connection shows no end, and the process behind it may have
         # been replaced.
-        first = self.connect(calls=1)
+        first = self.connect()
         self.process.silent = True
         self.assertRaises(http_client.ResponseTimeout, self.send, first)
         self.assertEqual(1, len(self.connections.unconfirmed))
@@ -172,7 +166,11 @@
         self.send(first + 1)
 
     def test_calls_at_the_same_time_use_connections_of_their_own(self):
-        process = self.connect(calls=4)
+        process = 0
+        for _ in range(4):
+            process = self.connect(calls=4)
+            self.send(process)
+        self.process.requests.clear()
         threads = [
             threading.Thread(target=self.send, args=(process, f"/{number}"))
             for number in range(8)
@@ -188,6 +186,31 @@
         self.assertEqual(process, self.connect(calls=4))
         self.assertEqual(4, self.idle())
 
+    def test_call_knows_how_long_it_waited_for_a_connection(self):
+        # A hold runs from the arrival of its grant, and must not end later than
+        # the session of the node.
+        process = process_connections.connect(self.connections)
+        pooled, _, waited_s = process_connections.take(
+            self.connections, process, clock.boottime_s() + TIMEOUT_S
+        )
+        self.assertEqual(0.0, waited_s)
+
+        def give_back():
+            with self.connections.changed:
+                self.connections.in_use -= 1
+                connection_pool.return_idle(
+                    self.connections.client, self.connections.address, pooled
+                )
+                self.connections.changed.notify_all()
+
+        timer = threading.Timer(0.1, give_back)
+        timer.start()
+        self.addCleanup(timer.join)
+        _, _, waited_s = process_connections.take(
+            self.connections, process, clock.boottime_s() + 5.0
+        )
+        self.assertGreater(waited_s, 0.0)
+
     def test_idle_connections_take_turns(self):
         # One that is never used would be closed for its age and opened again.
         process = self.connect()
--- a/packages/standins/src/waxwinglever_standins/fleet_simulation.py
+++ b/packages/standins/src/waxwinglever_standins/fleet_simulation.py
@@ -428,7 +428,7 @@
 def backend_calls(simulation: Simulation, node: Node) -> grants.GrantCalls:
     """Returns a node's calls to its backend server; some grants come late."""
 
-    def connect(_: int) -> int:
+    def connect() -> int:
         is_noticed = simulation.call_rng.random() < NOTICED_PROBABILITY
         if not node.connected_to or (
             node.connected_to != node.server.boot_number and is_noticed
@@ -475,7 +475,7 @@
             raise exceptions.BackendUnavailable("no answer", "none")
         return "token"
 
-    return grants.GrantCalls(connect, grant, release)
+    return grants.GrantCalls(connect, lambda _: None, grant, release)
 
 
 def apply_grant(
