Apply configurations whose priorities are far apart, to the end

Cause: weights of 4 to the power of the distance between priorities raise OverflowError above a distance of 511. The error came behind the activation of the configuration; the task started again, found it active and took it for applied, so the bound on cold servers, the gate's weights and the limits on clients stayed those from before.

Change: gaps count as 8 at most and distances above 500 as equal, so weights are finite and small gaps weigh as before.

--- a/packages/relay/src/waxwinglever_relay/backend_state.py
+++ b/packages/relay/src/waxwinglever_relay/backend_state.py
@@ -35,6 +35,12 @@
 # In a full queue, routes of priority r get this many times the weight of routes
 # of priority r + 1.
 PRIORITY_WEIGHT_FACTOR = 4.0
+# A larger gap between two priorities counts as this one, which is a factor of
+# 65,536, so that operators may number priorities as they like.
+MAX_PRIORITY_GAP = 8
+# Priorities further below the most urgent one count as equal, as weights must
+# be finite.
+MAX_PRIORITY_DISTANCE = 500
 # A limit that changes in each answer is logged at most this often.
 NOTICE_LOG_INTERVAL_S = 1.0
 
@@ -148,20 +154,33 @@
                 MAX_QUEUED_AND_RUNNING - slots,
             ),
         )
-    lowest = max(route_priorities.values(), default=0)
     return gate_state.Policy(
         slots=slots,
         queue_limit=queue_limit,
         cold_start_slots=slots,
         cold_start_s=0.0,
-        weights={
-            name: PRIORITY_WEIGHT_FACTOR ** (lowest - priority)
-            for name, priority in route_priorities.items()
-        },
+        weights=priority_weights(route_priorities),
         band_settings=band_settings,
     )
 
 
+def priority_weights(route_priorities: dict[str, int]) -> dict[str, float]:
+    """Returns the weight of each route by its priority; the lowest has 1."""
+    distances: dict[int, int] = {}
+    distance = 0
+    before = None
+    for priority in sorted(set(route_priorities.values())):
+        if before is not None:
+            distance += min(priority - before, MAX_PRIORITY_GAP)
+        distances[priority] = min(distance, MAX_PRIORITY_DISTANCE)
+        before = priority
+    lowest = max(distances.values(), default=0)
+    return {
+        name: PRIORITY_WEIGHT_FACTOR ** (lowest - distances[priority])
+        for name, priority in route_priorities.items()
+    }
+
+
 def set_route_priorities(
     backend: BackendState,
     route_priorities: dict[str, int],
--- a/packages/relay/tests/test_backend_state.py
+++ b/packages/relay/tests/test_backend_state.py
@@ -154,6 +154,22 @@
             self.assertIsNone(policy.band_settings)
             self.assertEqual(shorter, policy.queue_limit)
 
+    def test_priorities_may_be_far_apart(self):
+        # A difference of more than 511 raised OverflowError, and whatever
+        # follows while a configuration is applied was skipped.
+        routes = {"a": 0, "b": 1, "c": 1_000, "d": 10**9}
+        for cases in (routes, {f"r{n}": 7 * n for n in range(2_000)}):
+            weights = backend_state.gate_policy(9, cases).weights
+            ordered = [weights[name] for name in sorted(cases, key=cases.get)]
+            self.assertEqual(sorted(ordered, reverse=True), ordered)
+            self.assertGreater(ordered[0], ordered[1])
+            self.assertTrue(all(0 < weight < 1e305 for weight in ordered))
+        weights = backend_state.gate_policy(9, routes).weights
+        self.assertEqual(
+            backend_state.PRIORITY_WEIGHT_FACTOR, weights["a"] / weights["b"]
+        )
+        self.assertGreater(weights["b"] / weights["c"], 1_000)
+
     def test_the_switch_takes_effect_without_a_change_of_the_routes(self):
         for is_on in (True, False):
             backend_state.set_route_priorities(self.backend, {"read": 1}, is_on)
