Forward requests whose names need letters outside Latin-1

Cause: the header between daemons held the name as it is, and headers are encoded as Latin-1. The names of the caller's service and tenant went to the backend server the same way, and notices in responses too.

Change: JSON in headers between daemons is ASCII with escapes, which daemons of earlier versions read as well.

Also declares a condition with attrs.field, as pylint takes attrs.Factory for its value there.

--- a/packages/hops/src/waxwinglever_hops/forwarding.py
+++ b/packages/hops/src/waxwinglever_hops/forwarding.py
@@ -10,6 +10,7 @@
 from waxwinglever_hops import control
 from waxwinglever_hops import control_calls
 from waxwinglever_hops import in_flight as in_flight_module
+from waxwinglever_hops import json_headers
 from waxwinglever_hops import load_header
 from waxwinglever_hops import refusals
 from waxwinglever_hops import server
@@ -136,7 +137,7 @@
             request.movable,
         )
         headers = dict(request.headers)
-        headers[HOP_HEADER] = msgspec.json.encode(hop).decode()
+        headers[HOP_HEADER] = json_headers.encode(hop)
         try:
             response = http_client.send_request(
                 client,
@@ -326,7 +327,7 @@
     if endpoint.freshness is None or HOP_HEADER not in incoming.headers:
         return response
     statement = freshness_module.make_statement(endpoint.freshness, arrived_s)
-    text = msgspec.json.encode(statement).decode()
+    text = json_headers.encode(statement)
     return attrs.evolve(
         response, headers=(*response.headers, (STATEMENT_HEADER, text))
     )
@@ -384,7 +385,7 @@
     )
     headers += ((OUTCOME_HEADER, OUTCOME_RAN),)
     if response.notice is not None:
-        text = msgspec.json.encode(response.notice).decode()
+        text = json_headers.encode(response.notice)
         headers += ((NOTICE_HEADER, text),)
     if response.load is not None:
         headers += ((load_header.HEADER, load_header.encode(response.load)),)
--- a/packages/relay/src/waxwinglever_relay/process_connections.py
+++ b/packages/relay/src/waxwinglever_relay/process_connections.py
@@ -54,7 +54,7 @@
     unconfirmed: list[connection_pool.PooledConnection] = attrs.field(
         factory=list
     )
-    changed: threading.Condition = attrs.Factory(threading.Condition)
+    changed: threading.Condition = attrs.field(factory=threading.Condition)
 
 
 def connect(connections: ProcessConnections) -> int:
