Split the modules on grants, and keep the hold of a refused grant

A grant that is refused with 409 counts as possibly held until its end, like any other that was not released: the answer may be a copy of an earlier one. Only a grant that was not sent is taken back.

No other change of behaviour; the tests of assignment, relay and of the adapter's requests, drain and assembly pass.

--- a/packages/assignment/src/waxwinglever_assignment/grants.py
+++ b/packages/assignment/src/waxwinglever_assignment/grants.py
@@ -5,20 +5,17 @@
 """
 
 import random
-import threading
-from collections.abc import Callable, Collection, Mapping
-from concurrent import futures
+from collections.abc import Collection
 
 import attrs
 
-from waxwinglever_assignment import commits
+from waxwinglever_assignment import claims
 from waxwinglever_assignment import fleet_view
+from waxwinglever_assignment import grant_state
 from waxwinglever_assignment import holds
 from waxwinglever_assignment import sessions
 from waxwinglever_assignment import tables
-from waxwinglever_model import clock
 from waxwinglever_model import exceptions
-from waxwinglever_store import leased
 
 # Interval between checks for grants that are due; an unanswered renewal is
 # repeated then.
@@ -37,193 +34,9 @@
 # Spread of the next attempts of owners, several times a round trip to the store
 # (4 ms and the time for parts of 4 KB on a link of 5 Mbit/s).
 CLAIM_SPREAD_S = 0.1
-# Concurrent calls to the backend server; an unanswered one must not delay the
-# renewal of all other ranges.
-CALL_THREADS = 4
 
 
-class FenceTooLow(exceptions.WaxwingleverError):
-    """The backend server has seen a higher fence for one of the shards."""
-
-    kind = "fence-too-low"
-
-
-class NotSent(exceptions.BackendUnavailable):
-    """No connection reaches the process that a call is meant for."""
-
-
-@attrs.frozen
-class GrantCalls:
-    """Calls to the backend server; each raises BackendUnavailable.
-
-    Attributes:
-      connect: Returns the number of the process of the backend server that
-        grants reach, which rises whenever it can't be shown to be the same one.
-      add_connection: Prepares for a number of grants at the same time.
-      grant: Grants a range; called with the range, the seconds to hold it, the
-        timeout of the call and the number of the process that it is meant for.
-        Raises FenceTooLow, or NotSent if that process can't be reached.
-      release: Releases a range; called with the range and the timeout of the
-        call. Returns the handover token.
-    """
-
-    connect: Callable[[], int]
-    add_connection: Callable[[int], None]
-    grant: Callable[[tables.Range, float, float, int], None]
-    release: Callable[[tables.Range, float], str]
-
-
-@attrs.frozen
-class FenceUse:
-    """The processes of the backend server that were granted a fence.
-
-    Attributes:
-      first: Number of the first one, which has the lowest token.
-      newest: Number of the last one.
-    """
-
-    first: int
-    newest: int
-
-
-@attrs.frozen
-class Restart:
-    """A backend server that runs anew.
-
-    Attributes:
-      instance: Its current run.
-      earlier: Runs that the ownership table names for its ranges.
-    """
-
-    instance: str
-    earlier: frozenset[str]
-
-
-@attrs.define(eq=False)
-class GrantManager:
-    """State of the grants to the backend server of this node.
-
-    Attributes:
-      name: Name of this node.
-      service: Name of the service of the backend server.
-      fleet: View of all members and ownership tables.
-      session: The session of this node.
-      store: Client of the platform's store.
-      grant_calls: Calls to the backend server.
-      log: Called with an event name and fields.
-      now: Returns the time in seconds.
-      grant_end_s: When the grant of each range ends on this node's clock, by
-        fence.
-      ranges: The ranges of `grant_end_s`, by fence.
-      releasing: Fences of ranges that are released or being released.
-      handing_over: Fences of ranges that are being handed over, or were and are
-        still this node's in its copy of the table. They stay in `releasing`
-        even if the copy shows that their move was cancelled: a release that is
-        answered already may still move them.
-      hold_book: Until when the backend server may hold each shard.
-      instance: Id of the run of the backend server that the grants went to.
-      process: Number of the process of the backend server that was reached
-        last.
-      fence_uses: The processes that each fence was granted to.
-      lock: Held while the fields above are read or changed.
-      send_lock: Held while renewals are sent.
-      executor: Threads that call the backend server.
-      stopping: Set when the threads must end.
-    """
-
-    name: str
-    service: str
-    fleet: fleet_view.FleetView
-    session: sessions.Session
-    store: leased.LeasedStoreClient
-    grant_calls: GrantCalls
-    log: Callable[..., None]
-    now: Callable[[], float] = clock.boottime_s
-    grant_end_s: dict[int, float] = attrs.field(factory=dict)
-    ranges: dict[int, tables.Range] = attrs.field(factory=dict)
-    releasing: set[int] = attrs.Factory(set)
-    handing_over: set[int] = attrs.Factory(set)
-    # The previous run of the daemon may have granted ranges just before.
-    hold_book: holds.HoldBook = attrs.Factory(
-        lambda self: holds.earlier_run(self.now() + sessions.TAKEOVER_WAIT_S),
-        takes_self=True,
-    )
-    instance: str = ""
-    process: int = 0
-    fence_uses: dict[int, FenceUse] = attrs.field(factory=dict)
-    lock: threading.Lock = attrs.Factory(threading.Lock)
-    send_lock: threading.Lock = attrs.Factory(threading.Lock)
-    executor: futures.ThreadPoolExecutor = attrs.Factory(
-        lambda: futures.ThreadPoolExecutor(CALL_THREADS, "grants")
-    )
-    stopping: threading.Event = attrs.Factory(threading.Event)
-
-
-def held_fence(grant_manager: GrantManager, shard: int) -> int | None:
-    """Returns the fence under which the backend server holds a shard, or None.
-
-    Only grants that the backend server has acknowledged count.
-    """
-    now_s = grant_manager.now()
-    with grant_manager.lock:
-        for fence, item in grant_manager.ranges.items():
-            if item.first <= shard <= item.last:
-                if (
-                    grant_manager.grant_end_s[fence] > now_s
-                    and fence not in grant_manager.releasing
-                ):
-                    return fence
-    return None
-
-
-def may_be_held(grant_manager: GrantManager, first: int, last: int) -> bool:
-    """Returns whether the backend server may still hold any of some shards.
-
-    Unlike in `held_fence`, grants without an answer count, and so do those of
-    the daemon's previous run.
-    """
-    with grant_manager.lock:
-        end_s = holds.latest_end_s(grant_manager.hold_book, first, last)
-    return end_s > grant_manager.now()
-
-
-def holds_owned_ranges(grant_manager: GrantManager) -> bool:
-    """Returns whether the backend server may hold ranges of this node."""
-    table = fleet_view.ownership_table(
-        grant_manager.fleet, grant_manager.service
-    )
-    return table is not None and any(
-        may_be_held(grant_manager, item.first, item.last)
-        for item in tables.owned_ranges(table, grant_manager.name)
-    )
-
-
-def ranges_held_since_restore(
-    grant_manager: GrantManager,
-) -> tuple[tables.Range, ...]:
-    """Returns the held ranges whose record is older than the store's era.
-
-    Nobody else can have got these ranges, as this node has held them since
-    before the restore. The planner writes them to the table again.
-    """
-    era = grant_manager.store.era()
-    now_s = grant_manager.now()
-    with grant_manager.lock:
-        return tuple(
-            item
-            for fence, item in grant_manager.ranges.items()
-            if not tables.is_current(item, era)
-            and fence not in grant_manager.releasing
-            and grant_manager.grant_end_s[fence] > now_s
-        )
-
-
-def outdated_eras(grant_manager: GrantManager) -> set[int]:
-    """Returns the earlier eras in which held ranges were recorded."""
-    return {item.era for item in ranges_held_since_restore(grant_manager)}
-
-
-def run_grants(grant_manager: GrantManager) -> None:
+def run_grants(grant_manager: grant_state.GrantManager) -> None:
     """Renews the grants until `stopping` is set; runs in a thread."""
     known = -1
     while not grant_manager.stopping.is_set():
@@ -237,7 +50,9 @@
         known = wait(grant_manager, known, began_s + RENEW_S)
 
 
-def wait(grant_manager: GrantManager, known: int, until_s: float) -> int:
+def wait(
+    grant_manager: grant_state.GrantManager, known: int, until_s: float
+) -> int:
     """Waits for a change of the replica, at most until a time.
 
     Args:
@@ -258,7 +73,9 @@
         return replica.revision
 
 
-def usable_table(grant_manager: GrantManager) -> tables.OwnershipTable | None:
+def usable_table(
+    grant_manager: grant_state.GrantManager,
+) -> tables.OwnershipTable | None:
     """Returns the ownership table, or None when it must not be used.
 
     It must not be used while the session is invalid, when the replica is older
@@ -279,7 +96,7 @@
 
 
 def current_ranges(
-    grant_manager: GrantManager, table: tables.OwnershipTable
+    grant_manager: grant_state.GrantManager, table: tables.OwnershipTable
 ) -> tuple[tables.Range, ...]:
     """Returns the ranges that this node owns by up-to-date records."""
     return tuple(
@@ -289,7 +106,7 @@
     )
 
 
-def renew_grants(grant_manager: GrantManager) -> None:
+def renew_grants(grant_manager: grant_state.GrantManager) -> None:
     """Grants or renews the ranges of this node that should not move.
 
     While the table can't be used or lacks up-to-date records after a restore of
@@ -310,9 +127,9 @@
             owned = current_ranges(grant_manager, table)
             sync_ranges(grant_manager, table)
             if any(item.instance != member.instance for item in owned):
-                claim_ranges(grant_manager, table, member.instance)
+                claims.claim_ranges(grant_manager, table, member.instance)
                 return
-        held = ranges_held_since_restore(grant_manager)
+        held = grant_state.ranges_held_since_restore(grant_manager)
         with grant_manager.lock:
             if table is not None:
                 forget_fences(grant_manager, (*owned, *held))
@@ -341,7 +158,7 @@
             if next_token_index(grant_manager, item) >= tables.TOKENS_PER_FENCE
         }
         if table is not None and any(item.fence in used_up for item in owned):
-            claim_ranges(grant_manager, table, member.instance, used_up)
+            claims.claim_ranges(grant_manager, table, member.instance, used_up)
             return
         due = [
             item
@@ -359,7 +176,7 @@
         grant_manager.log("grants-not-sent", error=error.message)
 
 
-def reach_process(grant_manager: GrantManager) -> bool:
+def reach_process(grant_manager: grant_state.GrantManager) -> bool:
     """Finds out which process of the backend server grants would reach.
 
     Returns:
@@ -381,7 +198,7 @@
     return True
 
 
-def is_due(grant_manager: GrantManager, item: tables.Range) -> bool:
+def is_due(grant_manager: grant_state.GrantManager, item: tables.Range) -> bool:
     """Returns whether a range should be granted or renewed now.
 
     A process other than the one that got the last grant may hold nothing.
@@ -397,14 +214,18 @@
         )
 
 
-def next_token_index(grant_manager: GrantManager, item: tables.Range) -> int:
+def next_token_index(
+    grant_manager: grant_state.GrantManager, item: tables.Range
+) -> int:
     """Returns the number of the token of a range for the present process."""
     with grant_manager.lock:
         use = grant_manager.fence_uses.get(item.fence)
     return 0 if use is None else grant_manager.process - use.first
 
 
-def use_fence(grant_manager: GrantManager, item: tables.Range) -> tables.Range:
+def use_fence(
+    grant_manager: grant_state.GrantManager, item: tables.Range
+) -> tables.Range:
     """Returns a range with its fencing token for the present process.
 
     The fence itself was never granted before this run of the daemon, as that
@@ -415,20 +236,26 @@
     with grant_manager.lock:
         use = grant_manager.fence_uses.get(item.fence)
         first = process if use is None else use.first
-        grant_manager.fence_uses[item.fence] = FenceUse(first, process)
+        grant_manager.fence_uses[item.fence] = grant_state.FenceUse(
+            first, process
+        )
     token = tables.fencing_token(item, process - first)
     return attrs.evolve(item, fence=token)
 
 
-def newest_token(grant_manager: GrantManager, item: tables.Range) -> int:
+def newest_token(
+    grant_manager: grant_state.GrantManager, item: tables.Range
+) -> int:
     """Returns the highest token under which a range was granted, if it was."""
     with grant_manager.lock:
-        use = grant_manager.fence_uses.get(item.fence, FenceUse(0, 0))
+        use = grant_manager.fence_uses.get(
+            item.fence, grant_state.FenceUse(0, 0)
+        )
     return tables.fencing_token(item, use.newest - use.first)
 
 
 def forget_fences(
-    grant_manager: GrantManager, current: Collection[tables.Range]
+    grant_manager: grant_state.GrantManager, current: Collection[tables.Range]
 ) -> None:
     """Forgets fences that won't be granted any more; requires the lock."""
     kept = {item.fence for item in current} | set(grant_manager.ranges)
@@ -436,7 +263,9 @@
         del grant_manager.fence_uses[fence]
 
 
-def reset_on_restart(grant_manager: GrantManager, instance: str) -> None:
+def reset_on_restart(
+    grant_manager: grant_state.GrantManager, instance: str
+) -> None:
     """Discards all grants when the backend server has been restarted.
 
     The hold book stays: the new run may have got grants before it was heard,
@@ -452,7 +281,7 @@
 
 
 def sync_ranges(
-    grant_manager: GrantManager, table: tables.OwnershipTable
+    grant_manager: grant_state.GrantManager, table: tables.OwnershipTable
 ) -> None:
     """Updates the held ranges to those that this node owns.
 
@@ -474,92 +303,7 @@
                 del grant_manager.grant_end_s[fence]
 
 
-def claim_ranges(
-    grant_manager: GrantManager,
-    table: tables.OwnershipTable,
-    instance: str,
-    used_up: Collection[int] = (),
-) -> None:
-    """Claims this node's ranges for the current run of its backend server.
-
-    The previous run held them under its own fences and has ended. After a power
-    failure many owners claim at the same time, each in most parts of the table,
-    so that one of them succeeds at a time. It claims for the others as well.
-
-    Args:
-      grant_manager: State of the grants.
-      table: The newest table that this node has.
-      instance: The current run of the backend server.
-      used_up: Fences of this node whose tokens are used up.
-
-    Raises:
-      Conflict: Other nodes changed the table at each attempt.
-      StoreUnavailable: The store did not answer.
-    """
-    restarts = find_restarts(grant_manager, table)
-
-    def claimed(current: tables.OwnershipTable) -> tables.OwnershipTable:
-        changes = {}
-        for item in current.ranges:
-            if not tables.is_current(item, current.era):
-                continue
-            if item.node == grant_manager.name:
-                is_new = item.instance != instance or item.fence in used_up
-                run = instance if is_new else ""
-            else:
-                run = "" if item.to_node else find_run(restarts, item)
-            if run:
-                changes[item.fence] = {
-                    "instance": run,
-                    "handover": "",
-                    "to_node": "",
-                }
-        return tables.update_ranges(current, changes)
-
-    if commits.update(grant_manager.store, table, claimed):
-        grant_manager.log(
-            "ranges-claimed", instance=instance, others=sorted(restarts)
-        )
-
-
-def find_restarts(
-    grant_manager: GrantManager, table: tables.OwnershipTable
-) -> dict[str, Restart]:
-    """Returns the other owners that must claim their ranges, by name.
-
-    The entries are read after the table, so they are as new as it at least, and
-    the runs that the table names are earlier ones.
-    """
-    recorded: dict[str, set[str]] = {}
-    for item in table.ranges:
-        recorded.setdefault(item.node, set()).add(item.instance)
-    found = {}
-    for member in fleet_view.list_members(grant_manager.fleet):
-        earlier = recorded.get(member.name, set()) - {member.instance}
-        if (
-            earlier
-            and member.name != grant_manager.name
-            and member.service == grant_manager.service
-            and member.instance
-            and member.state != fleet_view.DOWN
-        ):
-            found[member.name] = Restart(member.instance, frozenset(earlier))
-    return found
-
-
-def find_run(restarts: Mapping[str, Restart], item: tables.Range) -> str:
-    """Returns the run to claim a range for, or '' if it must not be claimed.
-
-    A table that came with a conflict may be newer than the entries. Its record
-    may name a run that is later than the one in the entry.
-    """
-    restart = restarts.get(item.node)
-    if restart is None or item.instance not in restart.earlier:
-        return ""
-    return restart.instance
-
-
-def grant(grant_manager: GrantManager, item: tables.Range) -> None:
+def grant(grant_manager: grant_state.GrantManager, item: tables.Range) -> None:
     """Grants or renews one range; failures are logged."""
     sent_s = grant_manager.now()
     valid_s = valid_until_s(grant_manager, item) - sent_s
@@ -579,14 +323,19 @@
             CALL_TIMEOUT_S,
             grant_manager.process,
         )
-    except (FenceTooLow, NotSent) as error:
-        event = "grant-not-sent"
-        if isinstance(error, FenceTooLow):
-            event = "grant-refused"
-        grant_manager.log(event, fence=item.fence, error=error.message)
+    except grant_state.NotSent as error:
+        grant_manager.log(
+            "grant-not-sent", fence=item.fence, error=error.message
+        )
         with grant_manager.lock:
             holds.withdraw(book, sent)
         return
+    except grant_state.FenceTooLow as error:
+        # The answer may be a copy of an earlier one, so the hold stays.
+        grant_manager.log(
+            "grant-refused", fence=item.fence, error=error.message
+        )
+        return
     except exceptions.WaxwingleverError as error:
         grant_manager.log(
             "grant-unanswered",
@@ -614,7 +363,9 @@
             grant_manager.ranges[item.fence] = item
 
 
-def valid_until_s(grant_manager: GrantManager, item: tables.Range) -> float:
+def valid_until_s(
+    grant_manager: grant_state.GrantManager, item: tables.Range
+) -> float:
     """Returns the time until which the node may hold a range."""
     session = grant_manager.session
     if tables.is_current(item, grant_manager.store.era()):
--- a/packages/assignment/src/waxwinglever_assignment/handovers.py
+++ b/packages/assignment/src/waxwinglever_assignment/handovers.py
@@ -11,6 +11,7 @@
 
 from waxwinglever_assignment import commits
 from waxwinglever_assignment import fleet_view
+from waxwinglever_assignment import grant_state
 from waxwinglever_assignment import grants
 from waxwinglever_assignment import holds
 from waxwinglever_assignment import tables
@@ -28,7 +29,7 @@
 MAX_CONFIRMATION_AGE_S = 1.2
 
 
-def run_handovers(grant_manager: grants.GrantManager) -> None:
+def run_handovers(grant_manager: grant_state.GrantManager) -> None:
     """Hands over ranges until `stopping` is set; runs in a thread."""
     known = -1
     while not grant_manager.stopping.is_set():
@@ -40,7 +41,7 @@
         known = grants.wait(grant_manager, known, began_s + grants.RENEW_S)
 
 
-def hand_over_ranges(grant_manager: grants.GrantManager) -> None:
+def hand_over_ranges(grant_manager: grant_state.GrantManager) -> None:
     """Releases the ranges that should move and assigns them to the new owners.
 
     Raises:
@@ -79,7 +80,7 @@
 
 
 def release_moving(
-    grant_manager: grants.GrantManager,
+    grant_manager: grant_state.GrantManager,
     member: fleet_view.Member,
     moving: list[tables.Range],
 ) -> Iterator[dict[int, str]]:
@@ -104,7 +105,7 @@
         item.fence: ""
         for item in moving
         if item not in answering
-        and not grants.may_be_held(grant_manager, item.first, item.last)
+        and not grant_state.may_be_held(grant_manager, item.first, item.last)
     }
     if expired:
         yield expired
@@ -113,7 +114,7 @@
 
 
 def release(
-    grant_manager: grants.GrantManager, moving: list[tables.Range]
+    grant_manager: grant_state.GrantManager, moving: list[tables.Range]
 ) -> Iterator[dict[int, str]]:
     """Releases ranges and yields their handover tokens, by fence.
 
@@ -135,7 +136,9 @@
             tokens = {
                 item.fence: token
                 for item, token in ended
-                if not grants.may_be_held(grant_manager, item.first, item.last)
+                if not grant_state.may_be_held(
+                    grant_manager, item.first, item.last
+                )
             }
             if tokens:
                 yield tokens
@@ -145,7 +148,7 @@
 
 
 def release_range(
-    grant_manager: grants.GrantManager, item: tables.Range
+    grant_manager: grant_state.GrantManager, item: tables.Range
 ) -> str:
     """Asks the backend server to release a range.
 
@@ -168,7 +171,9 @@
 
 
 def send_release(
-    grant_manager: grants.GrantManager, item: tables.Range, timeout_s: float
+    grant_manager: grant_state.GrantManager,
+    item: tables.Range,
+    timeout_s: float,
 ) -> str:
     """Sends one release; returns the handover token.
 
@@ -190,7 +195,7 @@
 
 
 def log_unanswered(
-    grant_manager: grants.GrantManager,
+    grant_manager: grant_state.GrantManager,
     item: tables.Range,
     error: exceptions.WaxwingleverError,
 ) -> None:
@@ -210,7 +215,7 @@
 
 
 def reassign(
-    grant_manager: grants.GrantManager, tokens: Mapping[int, str]
+    grant_manager: grant_state.GrantManager, tokens: Mapping[int, str]
 ) -> set[int]:
     """Writes the new owners of released ranges to the ownership table.
 
@@ -242,7 +247,7 @@
 
 
 def reassignments(
-    grant_manager: grants.GrantManager,
+    grant_manager: grant_state.GrantManager,
     table: tables.OwnershipTable,
     tokens: Mapping[int, str],
 ) -> dict[int, dict[str, object]]:
@@ -256,7 +261,7 @@
         if (
             item.fence not in tokens
             or not item.to_node
-            or grants.may_be_held(grant_manager, item.first, item.last)
+            or grant_state.may_be_held(grant_manager, item.first, item.last)
         ):
             continue
         target = fleet_view.find_member(grant_manager.fleet, item.to_node)
--- a/packages/assignment/src/waxwinglever_assignment/holds.py
+++ b/packages/assignment/src/waxwinglever_assignment/holds.py
@@ -91,7 +91,7 @@
 
 
 def withdraw(book: HoldBook, sent: Hold) -> None:
-    """Removes a grant that was not sent, or was refused."""
+    """Removes a grant that was not sent."""
     book.holds = [hold for hold in book.holds if hold is not sent]
 
 
--- a/packages/assignment/tests/test_grants.py
+++ b/packages/assignment/tests/test_grants.py
@@ -11,6 +11,8 @@
 
 from waxwinglever_assignment import commits
 from waxwinglever_assignment import fleet_view
+from waxwinglever_assignment import claims
+from waxwinglever_assignment import grant_state
 from waxwinglever_assignment import grants
 from waxwinglever_assignment import handovers
 from waxwinglever_assignment import promises
@@ -73,13 +75,13 @@
         self.clock, self.memory_store = self.build.make_store()
         self.node = self.build.node(self.memory_store, self.clock, "n1")
         self.server = Server()
-        self.grant_manager = grants.GrantManager(
+        self.grant_manager = grant_state.GrantManager(
             "n1",
             "dispatch",
             self.node.fleet,
             self.node.session,
             self.node.session.store,
-            grants.GrantCalls(
+            grant_state.GrantCalls(
                 self.server.connect,
                 self.server.add_connection,
                 self.server.grant,
@@ -208,10 +210,10 @@
 
     def test_grant_without_a_connection_is_not_held(self):
         def grant(*_):
-            raise grants.NotSent("no connection", "none")
+            raise grant_state.NotSent("no connection", "none")
 
         self.grant_manager.hold_book.holds.clear()
-        self.grant_manager.grant_calls = grants.GrantCalls(
+        self.grant_manager.grant_calls = grant_state.GrantCalls(
             self.server.connect,
             self.server.add_connection,
             grant,
@@ -219,14 +221,14 @@
         )
         grants.renew_grants(self.grant_manager)
         self.assertFalse(
-            grants.may_be_held(self.grant_manager, 0, tables.LAST_SHARD)
+            grant_state.may_be_held(self.grant_manager, 0, tables.LAST_SHARD)
         )
 
     def test_nothing_is_granted_while_nobody_listens(self):
         def connect():
             raise exceptions.BackendUnavailable("refused", "none")
 
-        self.grant_manager.grant_calls = grants.GrantCalls(
+        self.grant_manager.grant_calls = grant_state.GrantCalls(
             connect,
             self.server.add_connection,
             self.server.grant,
@@ -250,7 +252,9 @@
                 grants.renew_grants(self.grant_manager)
             fence = FIRST_FENCE + min(2, number + 1) * tables.FENCE_STEP
             self.assertEqual(fence, self.table().ranges[0].fence)
-            self.assertEqual(fence, grants.held_fence(self.grant_manager, 0))
+            self.assertEqual(
+                fence, grant_state.held_fence(self.grant_manager, 0)
+            )
 
     def test_only_own_ranges_are_granted(self):
         grants.renew_grants(self.grant_manager)
@@ -260,9 +264,9 @@
             [fence for fence, _ in self.server.granted],
         )
         self.assertEqual(
-            FIRST_FENCE, grants.held_fence(self.grant_manager, 100)
+            FIRST_FENCE, grant_state.held_fence(self.grant_manager, 100)
         )
-        self.assertIsNone(grants.held_fence(self.grant_manager, 40_000))
+        self.assertIsNone(grant_state.held_fence(self.grant_manager, 40_000))
 
     def test_grant_ends_with_the_session(self):
         self.clock.now_s += 0.8
@@ -286,12 +290,12 @@
     def test_unanswered_grant_does_not_count_as_held(self):
         self.server.silent = True
         grants.renew_grants(self.grant_manager)
-        self.assertIsNone(grants.held_fence(self.grant_manager, 100))
+        self.assertIsNone(grant_state.held_fence(self.grant_manager, 100))
 
     def test_shard_is_not_held_after_the_end_of_its_grant(self):
         grants.renew_grants(self.grant_manager)
         self.clock.now_s += self.server.granted[0][1] + 0.01
-        self.assertIsNone(grants.held_fence(self.grant_manager, 100))
+        self.assertIsNone(grant_state.held_fence(self.grant_manager, 100))
 
     def test_handover_carries_the_token_and_a_new_fence(self):
         grants.renew_grants(self.grant_manager)
@@ -302,7 +306,7 @@
         self.assertEqual(("n2", "n2@1"), (moved.node, moved.instance))
         self.assertEqual("token", moved.handover)
         self.assertGreater(moved.fence, 2)
-        self.assertIsNone(grants.held_fence(self.grant_manager, 100))
+        self.assertIsNone(grant_state.held_fence(self.grant_manager, 100))
 
     def test_slow_release_does_not_delay_the_others(self):
         # A range without an owner refused thousands of requests while the work
@@ -325,7 +329,7 @@
                 resume.wait(5)
             return "token"
 
-        self.grant_manager.grant_calls = grants.GrantCalls(
+        self.grant_manager.grant_calls = grant_state.GrantCalls(
             self.server.connect,
             self.server.add_connection,
             self.server.grant,
@@ -365,7 +369,7 @@
                 time.sleep(0.05)
             return "token"
 
-        self.grant_manager.grant_calls = grants.GrantCalls(
+        self.grant_manager.grant_calls = grant_state.GrantCalls(
             self.server.connect,
             self.server.add_connection,
             self.server.grant,
@@ -462,7 +466,7 @@
         self.hand_over_beside(split_and_grant)
         for shard, held in ((0, False), (1_000, True)):
             self.assertEqual(
-                held, grants.may_be_held(self.grant_manager, shard, shard)
+                held, grant_state.may_be_held(self.grant_manager, shard, shard)
             )
 
     def test_release_whose_connection_breaks_is_sent_again_at_once(self):
@@ -478,7 +482,7 @@
                 raise exceptions.BackendUnavailable("reset", "none")
             return "token"
 
-        self.grant_manager.grant_calls = grants.GrantCalls(
+        self.grant_manager.grant_calls = grant_state.GrantCalls(
             self.server.connect,
             self.server.add_connection,
             self.server.grant,
@@ -509,7 +513,7 @@
         self.plan_move_of_piece()
         self.server.silent = True
         handovers.hand_over_ranges(self.grant_manager)
-        self.assertTrue(grants.holds_owned_ranges(self.grant_manager))
+        self.assertTrue(grant_state.holds_owned_ranges(self.grant_manager))
         self.server.silent = False
         handovers.hand_over_ranges(self.grant_manager)
         self.write(
@@ -518,7 +522,7 @@
         self.refresh()
         handovers.hand_over_ranges(self.grant_manager)
         self.refresh()
-        self.assertFalse(grants.holds_owned_ranges(self.grant_manager))
+        self.assertFalse(grant_state.holds_owned_ranges(self.grant_manager))
 
     def test_nothing_is_released_while_the_store_is_unavailable(self):
         grants.renew_grants(self.grant_manager)
@@ -544,13 +548,13 @@
         grants.renew_grants(self.grant_manager)
         sessions.update_member(self.node.session, instance="n1@2")
         grants.renew_grants(self.grant_manager)
-        self.assertIsNone(grants.held_fence(self.grant_manager, 100))
+        self.assertIsNone(grant_state.held_fence(self.grant_manager, 100))
         self.refresh()
         grants.renew_grants(self.grant_manager)
         claimed = self.table().ranges[0]
         fence = FIRST_FENCE + tables.FENCE_STEP
         self.assertEqual(("n1@2", fence), (claimed.instance, claimed.fence))
-        self.assertEqual(fence, grants.held_fence(self.grant_manager, 100))
+        self.assertEqual(fence, grant_state.held_fence(self.grant_manager, 100))
 
     def restart_servers(self) -> sessions.Session:
         """Restarts the servers of both nodes; returns the session of n2."""
@@ -621,7 +625,7 @@
         sessions.update_member(other.session, instance="n2@2")
         sessions.confirm(other.session)
         replicas.read_prefix(other.replica)
-        grants.claim_ranges(
+        claims.claim_ranges(
             attrs.evolve(
                 self.grant_manager,
                 name="n2",
@@ -656,7 +660,7 @@
             calls.append("release")
             return "token"
 
-        self.grant_manager.grant_calls = grants.GrantCalls(
+        self.grant_manager.grant_calls = grant_state.GrantCalls(
             self.server.connect, self.server.add_connection, grant, release
         )
         renewing = threading.Thread(
@@ -695,7 +699,7 @@
             during_release()
             return token
 
-        self.grant_manager.grant_calls = grants.GrantCalls(
+        self.grant_manager.grant_calls = grant_state.GrantCalls(
             self.server.connect,
             self.server.add_connection,
             self.server.grant,
@@ -714,7 +718,7 @@
 
         def cancel_and_plan_again():
             self.cancel_first_move()
-            held.append(grants.held_fence(self.grant_manager, 0))
+            held.append(grant_state.held_fence(self.grant_manager, 0))
             self.plan_first_move()
 
         self.hand_over_beside(cancel_and_plan_again)
@@ -759,7 +763,7 @@
         self.server.granted.clear()
         grants.renew_grants(self.grant_manager)
         self.assertNotIn(FIRST_FENCE, [f for f, _ in self.server.granted])
-        self.assertIsNone(grants.held_fence(self.grant_manager, 0))
+        self.assertIsNone(grant_state.held_fence(self.grant_manager, 0))
 
     def test_moving_piece_of_a_split_range_is_not_held(self):
         grants.renew_grants(self.grant_manager)
@@ -768,9 +772,9 @@
         self.write(tables.update_ranges(table, {fence: {"to_node": "n2"}}))
         self.add_other_member()
         handovers.hand_over_ranges(self.grant_manager)
-        self.assertIsNone(grants.held_fence(self.grant_manager, 1_000))
+        self.assertIsNone(grant_state.held_fence(self.grant_manager, 1_000))
         self.assertEqual(
-            FIRST_FENCE, grants.held_fence(self.grant_manager, 999)
+            FIRST_FENCE, grant_state.held_fence(self.grant_manager, 999)
         )
 
     def test_range_with_an_unanswered_grant_is_not_reassigned(self):
@@ -812,7 +816,7 @@
         self.assertEqual("n1", tables.range_at(self.table(), 100).node)
         self.advance_to_renewal()
         grants.renew_grants(self.grant_manager)
-        self.assertIsNone(grants.held_fence(self.grant_manager, 100))
+        self.assertIsNone(grant_state.held_fence(self.grant_manager, 100))
         self.assertNotIn(FIRST_FENCE, [f for f, _ in self.server.granted])
 
     def test_range_whose_record_was_lost_is_renewed_after_a_restore(self):
@@ -820,15 +824,17 @@
         copy = memory_leased_store.copy_store(self.memory_store)
         self.move(40_000, "n1")
         grants.renew_grants(self.grant_manager)
-        fence = grants.held_fence(self.grant_manager, 40_000)
+        fence = grant_state.held_fence(self.grant_manager, 40_000)
         self.restore(copy)
         self.assertEqual("n2", tables.range_at(self.table(), 40_000).node)
         self.advance_to_renewal()
         self.server.granted.clear()
         grants.renew_grants(self.grant_manager)
         self.assertIn(fence, [granted for granted, _ in self.server.granted])
-        self.assertEqual(fence, grants.held_fence(self.grant_manager, 40_000))
-        held = grants.ranges_held_since_restore(self.grant_manager)
+        self.assertEqual(
+            fence, grant_state.held_fence(self.grant_manager, 40_000)
+        )
+        held = grant_state.ranges_held_since_restore(self.grant_manager)
         self.assertIn(fence, [item.fence for item in held])
 
     def test_range_without_a_record_is_given_up_before_others_get_it(self):
@@ -840,7 +846,7 @@
             self.clock.now_s += 0.5
             sessions.confirm(session)
             grants.renew_grants(self.grant_manager)
-        self.assertIsNone(grants.held_fence(self.grant_manager, 100))
+        self.assertIsNone(grant_state.held_fence(self.grant_manager, 100))
         latest_s = max(self.grant_manager.grant_end_s.values(), default=0.0)
         self.assertLessEqual(latest_s, end_s)
 
@@ -862,5 +868,5 @@
         self.server.granted.clear()
         grants.renew_grants(self.grant_manager)
         self.assertNotIn(FIRST_FENCE, [f for f, _ in self.server.granted])
-        held = grants.ranges_held_since_restore(self.grant_manager)
+        held = grant_state.ranges_held_since_restore(self.grant_manager)
         self.assertNotIn(FIRST_FENCE, [item.fence for item in held])
--- a/packages/assignment/tests/test_holds.py
+++ b/packages/assignment/tests/test_holds.py
@@ -143,7 +143,7 @@
         holds.record_release(book, 0, 99, holds.begin_release(book))
         self.assertEqual(3.0, holds.latest_end_s(book, 50, 50))
 
-    def test_refused_grant_is_not_held(self):
+    def test_grant_that_was_not_sent_is_not_held(self):
         book = holds.HoldBook()
         holds.withdraw(book, holds.record_sent(book, 0, 99, 3.0))
         self.assertEqual(float("-inf"), holds.latest_end_s(book, 0, 99))
--- a/packages/hops/src/waxwinglever_hops/control.py
+++ b/packages/hops/src/waxwinglever_hops/control.py
@@ -15,7 +15,7 @@
 from waxwinglever_admission import gate as gates
 from waxwinglever_assignment import fleet_view
 from waxwinglever_assignment import freshness as freshness_module
-from waxwinglever_assignment import grants
+from waxwinglever_assignment import grant_state
 from waxwinglever_assignment import loads
 from waxwinglever_assignment import promises
 from waxwinglever_assignment import replicas
@@ -114,7 +114,7 @@
             control.local_delivery.load_meter,
             gates.snapshot(backend.gate).service_s,
             era,
-            grants.ranges_held_since_restore(grant_manager),
+            grant_state.ranges_held_since_restore(grant_manager),
             None if notice is None else notice.rate_limit_per_s,
         )
         return server.HttpResponse(200, (), msgspec.json.encode(report))
--- a/packages/relay/src/waxwinglever_relay/delivery.py
+++ b/packages/relay/src/waxwinglever_relay/delivery.py
@@ -8,7 +8,7 @@
 from waxwinglever_admission import gate as gates
 from waxwinglever_admission import gate_state
 from waxwinglever_assignment import fleet_view
-from waxwinglever_assignment import grants
+from waxwinglever_assignment import grant_state
 from waxwinglever_assignment import loads
 from waxwinglever_model import clock
 from waxwinglever_model import exceptions
@@ -65,7 +65,7 @@
     backend: backend_state.BackendState
     backend_sender: BackendSender
     active_config: routes.ActiveConfig
-    grant_manager: grants.GrantManager
+    grant_manager: grant_state.GrantManager
     log: Callable[..., None]
     now: Callable[[], float] = clock.boottime_s
     connect_failures: int = 0
@@ -198,7 +198,7 @@
         )
     if request.keyed and (
         request.shard is None
-        or grants.held_fence(local_delivery.grant_manager, request.shard)
+        or grant_state.held_fence(local_delivery.grant_manager, request.shard)
         is None
     ):
         raise exceptions.NotOwner(
--- a/packages/relay/tests/conftest.py
+++ b/packages/relay/tests/conftest.py
@@ -8,7 +8,7 @@
 from waxwinglever_admission import gate_state
 from waxwinglever_assignment import commits
 from waxwinglever_assignment import fleet_view
-from waxwinglever_assignment import grants
+from waxwinglever_assignment import grant_state
 from waxwinglever_assignment import replicas
 from waxwinglever_assignment import sessions
 from waxwinglever_assignment import tables
@@ -114,13 +114,13 @@
         discard,
         now=clock,
     )
-    grant_manager = grants.GrantManager(
+    grant_manager = grant_state.GrantManager(
         "n1",
         service,
         fleet_view.FleetView(replica, discard, now=clock),
         session,
         store,
-        grants.GrantCalls(discard, discard, discard, discard),
+        grant_state.GrantCalls(discard, discard, discard, discard),
         discard,
         now=clock,
     )
--- a/packages/standins/src/waxwinglever_standins/fleet_simulation.py
+++ b/packages/standins/src/waxwinglever_standins/fleet_simulation.py
@@ -13,6 +13,7 @@
 import attrs
 
 from waxwinglever_assignment import fleet_view
+from waxwinglever_assignment import grant_state
 from waxwinglever_assignment import grants
 from waxwinglever_assignment import handovers
 from waxwinglever_assignment import holds
@@ -137,7 +138,7 @@
     replica: replicas.Replica | None = None
     entry: replicas.Replica | None = None
     fleet: fleet_view.FleetView | None = None
-    grant_manager: grants.GrantManager | None = None
+    grant_manager: grant_state.GrantManager | None = None
     planner: planners.Planner | None = None
     voter: promises.VoterState | None = None
 
@@ -251,13 +252,13 @@
         lambda: replicas.watched_item(node.entry, key),
         log,
         lambda era: request_promises(simulation, node, era),
-        lambda: grants.outdated_eras(node.grant_manager),
+        lambda: grant_state.outdated_eras(node.grant_manager),
         now=now,
     )
     node.entry.known_listing = lambda: sessions.written_listing(
         node.session, node.entry
     )
-    node.grant_manager = grants.GrantManager(
+    node.grant_manager = grant_state.GrantManager(
         node.name,
         SERVICE,
         node.fleet,
@@ -425,7 +426,7 @@
     )
 
 
-def backend_calls(simulation: Simulation, node: Node) -> grants.GrantCalls:
+def backend_calls(simulation: Simulation, node: Node) -> grant_state.GrantCalls:
     """Returns a node's calls to its backend server; some grants come late."""
 
     def connect() -> int:
@@ -441,7 +442,7 @@
         item: tables.Range, hold_s: float, _: float, process: int
     ) -> None:
         if process != node.process or not node.connected_to:
-            raise grants.NotSent("not connected", "none")
+            raise grant_state.NotSent("not connected", "none")
         if node.connected_to != node.server.boot_number:
             node.connected_to = 0
             raise exceptions.BackendUnavailable("the process ended", "none")
@@ -475,7 +476,7 @@
             raise exceptions.BackendUnavailable("no answer", "none")
         return "token"
 
-    return grants.GrantCalls(connect, lambda _: None, grant, release)
+    return grant_state.GrantCalls(connect, lambda _: None, grant, release)
 
 
 def apply_grant(
@@ -682,7 +683,7 @@
         {bucket: simulation.rng.random() * 4 for bucket in range(0, 40)},
         0.15,
         node.grant_manager.store.era(),
-        grants.ranges_held_since_restore(node.grant_manager),
+        grant_state.ranges_held_since_restore(node.grant_manager),
     )
 
 
