--- a/packages/assignment/tests/test_exploration.py
+++ b/packages/assignment/tests/test_exploration.py
@@ -16,6 +16,7 @@
 from waxwinglever_assignment import tables
 from waxwinglever_standins import fleet_simulation
 from waxwinglever_standins import memory_leased_store
+from waxwinglever_standins import simulated_servers
 
 SEEDS = range(1, 13)
 # Seeds with restores of the store beside the other faults.
@@ -77,7 +78,9 @@
     elif kind == 7:
         simulation.late_grant_share = 0.3 - simulation.late_grant_share
     elif kind == 8:
-        fleet_simulation.restart_server(simulation, node.server)
+        simulated_servers.restart_server(
+            node.server, simulation.call_rng, simulation.now_s
+        )
     elif kind == 9:
         simulation.lost_release_share = 0.5 - simulation.lost_release_share
     elif kind == 10:
@@ -231,8 +234,8 @@
     for _ in range(6):
         node = simulation.nodes[rng.choice(sorted(simulation.nodes))]
         restarts = [
-            lambda node=node: fleet_simulation.restart_server(
-                simulation, node.server
+            lambda node=node: simulated_servers.restart_server(
+                node.server, simulation.call_rng, simulation.now_s
             ),
             lambda node=node: fleet_simulation.start_daemon(simulation, node),
         ]
--- a/packages/standins/src/waxwinglever_standins/fleet_simulation.py
+++ b/packages/standins/src/waxwinglever_standins/fleet_simulation.py
@@ -27,6 +27,7 @@
 from waxwinglever_standins import granted_ranges as granted_ranges_module
 from waxwinglever_standins import inline_executor
 from waxwinglever_standins import memory_leased_store
+from waxwinglever_standins import simulated_servers
 from waxwinglever_store import leased
 
 SERVICE = "dispatch"
@@ -38,13 +39,6 @@
 REPLICA_LAG_PROBABILITY = 0.1
 # Interval at which a backend server announces itself to its daemon.
 ANNOUNCE_INTERVAL_S = 1.5
-# How often a backend server begins to work on a shard, per range that it holds
-# and step, and for how long.
-WORK_PROBABILITY = 0.05
-WORK_RANGE_S = (0.05, 1.5)
-# Longest time from the start of a backend server to its first announcement. Its
-# daemon hears late announcements of the run before until then.
-MAX_UNHEARD_S = 3.0
 # How often a daemon notices that its connections have ended before it uses one.
 NOTICED_PROBABILITY = 0.5
 # Copies of the store are kept this long, to be restored from.
@@ -52,49 +46,6 @@
 INLINE_EXECUTOR = inline_executor.InlineExecutor()
 
 
-@attrs.frozen
-class Work:
-    """Work of a backend server on one shard.
-
-    Attributes:
-      shard: The shard.
-      fence: Fencing token of the grant under which it began.
-      end_s: When it ends, at the latest with the hold of the shard.
-    """
-
-    shard: int
-    fence: int
-    end_s: float
-
-
-@attrs.define(eq=False)
-class Server:
-    """A simulated backend server.
-
-    Attributes:
-      name: Name of its node.
-      boot_number: Number of its current run; a restart increases it.
-      heard_boot_number: Number of the run that announced itself last.
-      announced_s: When the current run announces itself first.
-      granted_ranges: Shard ranges that it holds.
-      work: Its work on shards, also on those released meanwhile.
-      late_grants: Grants that are applied later: the time, the range, and
-        the `boot_number` that the grant was sent to.
-    """
-
-    name: str
-    boot_number: int = 1
-    heard_boot_number: int = 1
-    announced_s: float = float("-inf")
-    granted_ranges: list[granted_ranges_module.GrantedRange] = attrs.Factory(
-        list
-    )
-    work: list[Work] = attrs.Factory(list)
-    late_grants: list[tuple[float, granted_ranges_module.GrantedRange, int]] = (
-        attrs.Factory(list)
-    )
-
-
 @attrs.define(eq=False)
 class Node:
     """A VM with a daemon and its backend server.
@@ -125,7 +76,7 @@
 
     name: str
     zone: str
-    server: Server
+    server: simulated_servers.Server
     up: bool = True
     frozen_until_s: float = float("-inf")
     store_cut: bool = False
@@ -206,7 +157,7 @@
     )
     for number in range(node_count):
         name = f"n{number}"
-        node = Node(name, "abc"[number % 3], Server(name))
+        node = Node(name, "abc"[number % 3], simulated_servers.Server(name))
         simulation.nodes[name] = node
         start_daemon(simulation, node)
         node.voter.started_s -= promises.PROMISE_DENIAL_S
@@ -286,18 +237,6 @@
     )
 
 
-def server_boot_id(server: Server) -> str:
-    """Returns the id of the current run of a backend server."""
-    return f"{server.name}@{server.boot_number}"
-
-
-def heard_boot_id(simulation: Simulation, server: Server) -> str:
-    """Returns the id of the run that announced itself last."""
-    if simulation.now_s >= server.announced_s:
-        server.heard_boot_number = server.boot_number
-    return f"{server.name}@{server.heard_boot_number}"
-
-
 def request_promises(simulation: Simulation, node: Node, era: int) -> bool:
     """Asks the voters for promises, as the platform's adapter does.
 
@@ -470,7 +409,9 @@
             server.granted_ranges, item.first, item.last
         )
         if (
-            works_on(simulation, server, item.first, item.last)
+            simulated_servers.works_on(
+                server, item.first, item.last, simulation.now_s
+            )
             or simulation.call_rng.random() < simulation.lost_release_share
         ):
             raise exceptions.BackendUnavailable("no answer", "none")
@@ -481,7 +422,7 @@
 
 def apply_grant(
     simulation: Simulation,
-    server: Server,
+    server: simulated_servers.Server,
     granted_range: granted_ranges_module.GrantedRange,
 ) -> None:
     """Adds a shard range to a server and records overlaps with others."""
@@ -500,8 +441,11 @@
                     f" beside {node.name} fence {other.fence}"
                     f" until {other.expires_s:.2f}"
                 )
-        for work in works_on(
-            simulation, node.server, granted_range.first, granted_range.last
+        for work in simulated_servers.works_on(
+            node.server,
+            granted_range.first,
+            granted_range.last,
+            simulation.now_s,
         ):
             simulation.overlaps.append(
                 f"{simulation.now_s:.2f}: {server.name}"
@@ -519,54 +463,13 @@
     ] + [granted_range]
 
 
-def works_on(
-    simulation: Simulation, server: Server, first: int, last: int
-) -> list[Work]:
-    """Returns the work of a server that still runs on some shards."""
-    return [
-        work
-        for work in server.work
-        if first <= work.shard <= last and work.end_s > simulation.now_s
-    ]
-
-
-def begin_work(simulation: Simulation, server: Server) -> None:
-    """Lets a server begin to work on random shards that it holds."""
-    rng = simulation.call_rng
-    server.work = [
-        work for work in server.work if work.end_s > simulation.now_s
-    ]
-    for item in server.granted_ranges:
-        if item.expires_s > simulation.now_s:
-            if rng.random() < WORK_PROBABILITY:
-                end_s = simulation.now_s + rng.uniform(*WORK_RANGE_S)
-                server.work.append(
-                    Work(
-                        rng.randint(item.first, item.last),
-                        item.fence,
-                        min(end_s, item.expires_s),
-                    )
-                )
-
-
-def restart_server(simulation: Simulation, server: Server) -> None:
-    """Restarts a backend server; it holds nothing and is heard later."""
-    heard_boot_id(simulation, server)
-    server.boot_number += 1
-    server.announced_s = simulation.now_s + simulation.call_rng.uniform(
-        0.0, MAX_UNHEARD_S
-    )
-    server.granted_ranges.clear()
-    server.work.clear()
-
-
 def record_fences(
     simulation: Simulation,
-    server: Server,
+    server: simulated_servers.Server,
     granted_range: granted_ranges_module.GrantedRange,
 ) -> None:
     """Records a grant whose fence another run has reached for its shards."""
-    run = server_boot_id(server)
+    run = simulated_servers.server_boot_id(server)
     for bucket in range(
         loads.bucket_of(granted_range.first),
         loads.bucket_of(granted_range.last) + 1,
@@ -633,7 +536,9 @@
                 and due[1].expires_s > simulation.now_s
             ):
                 apply_grant(simulation, server, due[1])
-        begin_work(simulation, server)
+        simulated_servers.begin_work(
+            server, simulation.call_rng, simulation.now_s
+        )
     nodes = list(simulation.nodes.values())
     simulation.rng.shuffle(nodes)
     for node in nodes:
@@ -648,7 +553,7 @@
     if simulation.now_s >= node.first_announcement_s:
         sessions.publish_server(
             session,
-            heard_boot_id(simulation, node.server),
+            simulated_servers.heard_boot_id(node.server, simulation.now_s),
             instance_id=node.name,
             state=fleet_view.READY,
         )
