--- a/packages/assignment/tests/test_claims.py
+++ b/packages/assignment/tests/test_claims.py
@@ -3,8 +3,8 @@
 import attrs
 import pytest
 
-from waxwinglever_assignment import fleet_view
 from waxwinglever_assignment import claims
+from waxwinglever_assignment import fleet_view
 from waxwinglever_assignment import grant_state
 from waxwinglever_assignment import grants
 from waxwinglever_assignment import replicas
