Let no grant wait for a connection to a known process

Change: each connection counts as reaching a process of its own until an older one answers a call that was sent after it was opened. A range whose process can't be reached is granted again at once.

--- a/packages/assignment/src/waxwinglever_assignment/grant_state.py
+++ b/packages/assignment/src/waxwinglever_assignment/grant_state.py
@@ -26,7 +26,7 @@
 
 
 class NotSent(exceptions.BackendUnavailable):
-    """No connection reaches the process that a call is meant for."""
+    """A call was not sent, as no connection could be opened."""
 
 
 @attrs.frozen
@@ -34,33 +34,35 @@
     """Calls to the backend server; each raises BackendUnavailable.
 
     Attributes:
-      connect: Returns the number of the process of the backend server that
-        grants reach, which rises whenever it can't be shown to be the same one.
-      add_connection: Prepares for a number of grants at the same time.
+      is_connected: Returns whether a process of the backend server can still be
+        reached; called with its number. A process that can't be shown to be an
+        earlier one has a number of its own.
       grant: Grants a range; called with the range, the seconds to hold it, the
-        timeout of the call and the number of the process that it is meant for.
-        Raises FenceTooLow, or NotSent if that process can't be reached.
+        timeout of the call, the number of the process that should get it, and a
+        function that returns the fencing token for the process that gets it.
+        Raises FenceTooLow, or NotSent.
       release: Releases a range; called with the range and the timeout of the
         call. Returns the handover token.
     """
 
-    connect: Callable[[], int]
-    add_connection: Callable[[int], None]
-    grant: Callable[[tables.Range, float, float, int], None]
+    is_connected: Callable[[int], bool]
+    grant: Callable[
+        [tables.Range, float, float, int, Callable[[int], int]], None
+    ]
     release: Callable[[tables.Range, float], str]
 
 
 @attrs.frozen
 class FenceUse:
-    """The processes of the backend server that were granted a fence.
+    """The newest token of a fence, and the process that it is for.
 
     Attributes:
-      first: Number of the first one, which has the lowest token.
-      newest: Number of the last one.
+      index: Number of the token.
+      process: Number of the process of the backend server.
     """
 
-    first: int
-    newest: int
+    index: int
+    process: int
 
 
 @attrs.define(eq=False)
@@ -86,9 +88,7 @@
         answered already may still move them.
       hold_book: Until when the backend server may hold each shard.
       instance: Id of the run of the backend server that the grants went to.
-      process: Number of the process of the backend server that was reached
-        last.
-      fence_uses: The processes that each fence was granted to.
+      fence_uses: The newest token of each fence that was granted.
       lock: Held while the fields above are read or changed.
       send_lock: Held while renewals are sent.
       executor: Threads that call the backend server.
@@ -113,7 +113,6 @@
         takes_self=True,
     )
     instance: str = ""
-    process: int = 0
     fence_uses: dict[int, FenceUse] = attrs.field(factory=dict)
     lock: threading.Lock = attrs.Factory(threading.Lock)
     send_lock: threading.Lock = attrs.Factory(threading.Lock)
--- a/packages/assignment/src/waxwinglever_assignment/grants.py
+++ b/packages/assignment/src/waxwinglever_assignment/grants.py
@@ -7,8 +7,6 @@
 import random
 from collections.abc import Collection
 
-import attrs
-
 from waxwinglever_assignment import claims
 from waxwinglever_assignment import fleet_view
 from waxwinglever_assignment import grant_state
@@ -150,12 +148,8 @@
                 if not item.to_node
                 and item.fence not in grant_manager.releasing
             ]
-        if not staying or not reach_process(grant_manager):
-            return
         used_up = {
-            item.fence
-            for item in staying
-            if next_token_index(grant_manager, item) >= tables.TOKENS_PER_FENCE
+            item.fence for item in staying if is_used_up(grant_manager, item)
         }
         if table is not None and any(item.fence in used_up for item in owned):
             claims.claim_ranges(grant_manager, table, member.instance, used_up)
@@ -170,77 +164,59 @@
                 lambda item: grant(grant_manager, item), due
             )
         )
-    try:
-        grant_manager.grant_calls.add_connection(len(due))
-    except exceptions.BackendUnavailable as error:
-        grant_manager.log("grants-not-sent", error=error.message)
-
-
-def reach_process(grant_manager: grant_state.GrantManager) -> bool:
-    """Finds out which process of the backend server grants would reach.
-
-    Returns:
-      Whether there is one.
-    """
-    try:
-        process = grant_manager.grant_calls.connect()
-    except exceptions.BackendUnavailable as error:
-        grant_manager.log("grants-not-sent", error=error.message)
-        return False
-    if process != grant_manager.process:
-        grant_manager.log(
-            "grants-reconnected",
-            process=process,
-            before=grant_manager.process,
-            instance=grant_manager.instance,
-        )
-        grant_manager.process = process
-    return True
 
 
 def is_due(grant_manager: grant_state.GrantManager, item: tables.Range) -> bool:
     """Returns whether a range should be granted or renewed now.
 
-    A process other than the one that got the last grant may hold nothing.
+    That is also the case if the process that got the last grant can't be
+    reached any more: another one may hold nothing.
     """
     due_s = grant_manager.now() + RENEW_BELOW_S
     with grant_manager.lock:
         use = grant_manager.fence_uses.get(item.fence)
-        return (
-            grant_manager.ranges.get(item.fence) != item
+        if (
+            use is None
+            or grant_manager.ranges.get(item.fence) != item
             or grant_manager.grant_end_s[item.fence] < due_s
-            or use is None
-            or use.newest != grant_manager.process
-        )
+        ):
+            return True
+    return not grant_manager.grant_calls.is_connected(use.process)
 
 
-def next_token_index(
+def is_used_up(
     grant_manager: grant_state.GrantManager, item: tables.Range
-) -> int:
-    """Returns the number of the token of a range for the present process."""
+) -> bool:
+    """Returns whether a fence has no token for another process."""
     with grant_manager.lock:
         use = grant_manager.fence_uses.get(item.fence)
-    return 0 if use is None else grant_manager.process - use.first
+    return use is not None and use.index >= tables.TOKENS_PER_FENCE - 1
 
 
-def use_fence(
-    grant_manager: grant_state.GrantManager, item: tables.Range
-) -> tables.Range:
-    """Returns a range with its fencing token for the present process.
+def use_token(
+    grant_manager: grant_state.GrantManager, item: tables.Range, process: int
+) -> int:
+    """Returns the fencing token of a range for a process that is granted it.
 
-    The fence itself was never granted before this run of the daemon, as that
-    claims its ranges anew. A process gets a token above those of all earlier
-    ones, so that it never has a shard by a token that another one had.
+    A process gets the token of its last grant again, unless another one got a
+    grant since; then it gets the next one. So no process has a shard by a token
+    that another one had, or by a lower one. The fence itself was never granted
+    before this run of the daemon, as that claims its ranges anew.
     """
-    process = grant_manager.process
     with grant_manager.lock:
         use = grant_manager.fence_uses.get(item.fence)
-        first = process if use is None else use.first
-        grant_manager.fence_uses[item.fence] = grant_state.FenceUse(
-            first, process
-        )
-    token = tables.fencing_token(item, process - first)
-    return attrs.evolve(item, fence=token)
+        if use is None:
+            use = grant_state.FenceUse(0, process)
+        elif use.process != process:
+            use = grant_state.FenceUse(use.index + 1, process)
+            grant_manager.log(
+                "fencing-token-raised",
+                fence=item.fence,
+                index=use.index,
+                process=process,
+            )
+        grant_manager.fence_uses[item.fence] = use
+    return tables.fencing_token(item, use.index)
 
 
 def newest_token(
@@ -248,10 +224,17 @@
 ) -> int:
     """Returns the highest token under which a range was granted, if it was."""
     with grant_manager.lock:
-        use = grant_manager.fence_uses.get(
-            item.fence, grant_state.FenceUse(0, 0)
-        )
-    return tables.fencing_token(item, use.newest - use.first)
+        use = grant_manager.fence_uses.get(item.fence)
+    return tables.fencing_token(item, use.index if use is not None else 0)
+
+
+def newest_process(
+    grant_manager: grant_state.GrantManager, item: tables.Range
+) -> int:
+    """Returns the number of the process that got a range last, or 0."""
+    with grant_manager.lock:
+        use = grant_manager.fence_uses.get(item.fence)
+    return 0 if use is None else use.process
 
 
 def forget_fences(
@@ -318,10 +301,11 @@
         )
     try:
         grant_manager.grant_calls.grant(
-            use_fence(grant_manager, item),
+            item,
             hold_s,
             CALL_TIMEOUT_S,
-            grant_manager.process,
+            newest_process(grant_manager, item),
+            lambda process: use_token(grant_manager, item, process),
         )
     except grant_state.NotSent as error:
         grant_manager.log(
--- a/packages/relay/src/waxwinglever_relay/connection_pool.py
+++ b/packages/relay/src/waxwinglever_relay/connection_pool.py
@@ -116,12 +116,16 @@
       was_used: Whether a request was sent on it.
       request_ids: Ids of the requests that were sent on it, and when each of
         them can't be sent again, as its deadline has passed.
+      opened: Position among the connections of process_connections.
+      process: Number of the process that it reaches there.
     """
 
     connection: framing_client.Connection
     idle_since_s: float = float("-inf")
     was_used: bool = False
     request_ids: dict[str, float] = attrs.field(factory=dict)
+    opened: int = 0
+    process: int = 0
 
 
 @attrs.define(eq=False)
@@ -216,7 +220,10 @@
 
 
 def take_idle(
-    client: Client, address: str, request_id: str, oldest_first: bool = False
+    client: Client,
+    address: str,
+    request_id: str,
+    is_preferred: Callable[[PooledConnection], bool] = lambda _: True,
 ) -> PooledConnection | None:
     """Returns an idle connection that is still open, or None.
 
@@ -224,24 +231,20 @@
       client: The connection pool.
       address: host:port.
       request_id: If not empty, the connection has not carried this id.
-      oldest_first: Whether to take the one that was idle for longest, so that
-        none is idle for too long while calls are made.
+      is_preferred: Whether to take a connection before others.
     """
     while True:
         with client.lock:
             idle = client.idle_connections.get(address, [])
-            order = range(len(idle))
-            index = next(
-                (
-                    i
-                    for i in (order if oldest_first else reversed(order))
-                    if request_id not in idle[i].request_ids
-                ),
-                None,
-            )
-            if index is None:
+            usable = [
+                i
+                for i in reversed(range(len(idle)))
+                if request_id not in idle[i].request_ids
+            ]
+            if not usable:
                 return None
-            found = idle.pop(index)
+            preferred = (i for i in usable if is_preferred(idle[i]))
+            found = idle.pop(next(preferred, usable[0]))
         if is_usable(client, found):
             return found
         found.connection.close()
@@ -257,17 +260,6 @@
     return age_s < client.max_idle_s and not is_readable(pooled.connection.sock)
 
 
-def count_idle(client: Client, address: str) -> int:
-    """Closes idle connections that can't be used; returns how many are left."""
-    with client.lock:
-        idle = client.idle_connections.get(address, [])
-        ended = [item for item in idle if not is_usable(client, item)]
-        idle[:] = [item for item in idle if item not in ended]
-    for item in ended:
-        item.connection.close()
-    return len(idle)
-
-
 def return_idle(client: Client, address: str, pooled: PooledConnection) -> None:
     """Returns a connection to the pool and closes those idle for too long."""
     replaced = None
