--- a/packages/assignment/tests/test_exploration.py
+++ b/packages/assignment/tests/test_exploration.py
@@ -24,7 +24,7 @@
 RESTORE_SHARE = 0.2
 # Seeds with partitions between nodes and restarts of daemons beside restores. A
 # few keep the test short; each planted fault is found with them.
-PARTITION_SEEDS = range(5, 12)
+PARTITION_SEEDS = range(3, 12)
 # Extensions after a change of the list of voters take long.
 PARTITION_FAULT_STEPS = 1200
 # Seeds of the days of one lost record each.
