Apply an active configuration again only if that was not completed

test_version_with_warnings_is_in_force failed since: a configuration that was applied twice was logged twice. The version whose application was completed is recorded now.

--- a/packages/relay/src/waxwinglever_relay/routes.py
+++ b/packages/relay/src/waxwinglever_relay/routes.py
@@ -197,6 +197,7 @@
 
     Attributes:
       config: The active configuration, or None before the first.
+      applied_version: Version of the last one whose application was completed.
       closed_zones: Zones whose backend servers get no new requests.
       closed_since_s: When each of them was closed.
       overload_mode: One of OVERLOAD_MODES, see is_overload_controlled.
@@ -205,6 +206,7 @@
     """
 
     config: RoutingConfig | None = None
+    applied_version: int | None = None
     closed_zones: frozenset[str] = frozenset()
     closed_since_s: Mapping[str, float] = attrs.Factory(dict)
     overload_mode: str = OVERLOAD_AUTO
