--- a/review/lib-3/instance.py
+++ b/review/lib-3/instance.py
@@ -41,7 +41,8 @@
         self.clock_factor = options.get("clock_factor", 1.0)
         self.journal = open(options["journal"], "a", encoding="utf-8")
         self.state = "ready"
-        self.born = int(time.time() * 1000)
+        # How far the time of day is off on its machine (clock_step).
+        self.born = int(time.time() * 1000) + options.get("clock_step_ms", 0)
         self.sequence = 0
         self.running = 0
         self.grants = []
