Review: choose the ports of the stand-ins outside the range of connections

In 2 of 16 runs of a random script with the same harness, beside other fleets, the daemons were not ready after 25 s; ports that connections had taken meanwhile are the suspected cause, not shown.

--- a/review/lib-3/harness.py
+++ b/review/lib-3/harness.py
@@ -30,6 +30,8 @@
 CONFIG_APPLY_MS = 2000
 HEARTBEAT_MS = 870
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+FIRST_PORT, LAST_PORT = 12_000, 32_000
+PORTS = random.SystemRandom()
 
 
 class CannotRun(Exception):
@@ -37,11 +39,20 @@
 
 
 def free_ports(count):
-    """Returns ports on which nobody listens now."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
+    """Returns ports on which nobody listens now.
+
+    They lie below those that the system gives to connections, which might
+    take one before the process that shall listen there.
+    """
+    ports = []
+    while len(ports) < count:
+        port = PORTS.randrange(FIRST_PORT, LAST_PORT)
+        try:
+            socket.create_server(("127.0.0.1", port)).close()
+        except OSError:
+            continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
@@ -329,7 +340,6 @@
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
     deployment = Deployment(path)
-    random.seed(0)
     try:
         found = play(deployment, trouble)
         for text in found:
@@ -339,6 +349,9 @@
     except CannotRun as error:
         deployment.record(f"can't run: {error}")
         print(f"can't run: {error}")
+        for node in deployment.nodes:
+            if node.process is not None and node.process.poll() is not None:
+                print(f"{node.name} has ended: {node.log_text()[-300:]}")
         result = NOT_RUN
     finally:
         deployment.close()
