Review: play the cases with as many machines as the small sites have

With one or two machines, one instance was more than the share that the site files give a disruption.

--- a/review/lib-3/harness.py
+++ b/review/lib-3/harness.py
@@ -197,6 +197,22 @@
         self.nodes.append(node)
         return node
 
+    def add_fleet(self, machines, **options):
+        """Starts machines with their instances and waits until all are ready.
+
+        Args:
+          machines: The name, the zone and the service of each.
+          options: Options of the instances.
+        """
+        nodes = [self.add_node(*machine) for machine in machines]
+        for node in nodes:
+            node.start()
+        for node in nodes:
+            node.start_instance(**options)
+        for node in nodes:
+            self.wait_until(node.is_ready, 30, f"{node.name} is ready")
+        return nodes
+
     def wait_until(self, condition, timeout_s, what):
         """Waits for a condition of the set-up; raises CannotRun."""
         end_s = time.monotonic() + timeout_s
