--- a/review/lib-3/harness.py
+++ b/review/lib-3/harness.py
@@ -18,6 +18,7 @@
 import threading
 import time
 import tomllib
+import traceback
 import uuid
 
 import store as stores
@@ -30,6 +31,8 @@
 CONFIG_APPLY_MS = 2000
 HEARTBEAT_MS = 870
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+# A case may take 120 s.
+LONGEST_S = 105
 FIRST_PORT, LAST_PORT = 12_000, 32_000
 PORTS = random.SystemRandom()
 
@@ -356,6 +359,14 @@
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
     deployment = Deployment(path)
+
+    def give_up(*_):
+        raise CannotRun(f"stopped, or longer than {LONGEST_S} s")
+
+    signal.signal(signal.SIGTERM, give_up)
+    signal.signal(signal.SIGALRM, give_up)
+    signal.alarm(LONGEST_S)
+    result = NOT_RUN
     try:
         found = play(deployment, trouble)
         for text in found:
@@ -368,8 +379,10 @@
         for node in deployment.nodes:
             if node.process is not None and node.process.poll() is not None:
                 print(f"{node.name} has ended: {node.log_text()[-300:]}")
-        result = NOT_RUN
+    except Exception:  # An error of the script says nothing of the rule.
+        traceback.print_exc()
     finally:
+        signal.alarm(0)
         deployment.close()
     print(("held", "broken", "not run")[result])
     sys.stdout.flush()
