--- a/review/lib-3/harness.py
+++ b/review/lib-3/harness.py
@@ -35,6 +35,8 @@
 LONGEST_S = 105
 FIRST_PORT, LAST_PORT = 12_000, 32_000
 PORTS = random.SystemRandom()
+# Those that were given to a process of this case, which may not listen yet.
+TAKEN_PORTS = set()
 
 
 class CannotRun(Exception):
@@ -50,12 +52,14 @@
     ports = []
     while len(ports) < count:
         port = PORTS.randrange(FIRST_PORT, LAST_PORT)
+        if port in TAKEN_PORTS:
+            continue
         try:
             socket.create_server(("127.0.0.1", port)).close()
         except OSError:
             continue
-        if port not in ports:
-            ports.append(port)
+        TAKEN_PORTS.add(port)
+        ports.append(port)
     return ports
 
 
