Review: keep the doses of cases 12 and 15, deregister in case 14

All answers in cases 12 and 15 had no length; the site has 0.05 of them at most (`garble` unframed). Now it is one of 20, of one instance, within 5 s. The instance of case 14 deregisters before it exits. Cases at the same time get ports of their own: one run of case 12 beside two others could not run, as a port had been taken.

--- a/review/lib-3/harness.py
+++ b/review/lib-3/harness.py
@@ -34,33 +34,43 @@
 # A case may take 120 s.
 LONGEST_S = 105
 FIRST_PORT, LAST_PORT = 12_000, 32_000
-PORTS = random.SystemRandom()
-# Those that were given to a process of this case, which may not listen yet.
-TAKEN_PORTS = set()
+BLOCK = 100
 
 
 class CannotRun(Exception):
     """The case can't run here."""
 
 
-def free_ports(count):
-    """Returns ports on which nobody listens now.
+def take_ports():
+    """Yields ports on which nobody listens now, each once.
 
     They lie below those that the system gives to connections, which might
-    take one before the process that shall listen there.
+    take one before the process that shall listen there. The first port of a
+    block is kept, so that cases at the same time have blocks of their own.
     """
-    ports = []
-    while len(ports) < count:
-        port = PORTS.randrange(FIRST_PORT, LAST_PORT)
-        if port in TAKEN_PORTS:
-            continue
+    blocks = list(range(FIRST_PORT, LAST_PORT, BLOCK))
+    random.SystemRandom().shuffle(blocks)
+    for block in blocks:
         try:
-            socket.create_server(("127.0.0.1", port)).close()
+            guard = socket.create_server(("127.0.0.1", block))
         except OSError:
             continue
-        TAKEN_PORTS.add(port)
-        ports.append(port)
-    return ports
+        for port in range(block + 1, block + BLOCK):
+            try:
+                socket.create_server(("127.0.0.1", port)).close()
+            except OSError:
+                continue
+            yield port
+        guard.close()
+    raise CannotRun("no port is free")
+
+
+def free_ports(count):
+    """Returns some of these ports."""
+    return [next(PORTS) for _ in range(count)]
+
+
+PORTS = take_ports()
 
 
 class Node:
@@ -266,6 +276,15 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
+def wait_briefly(condition, what):
+    """Waits up to 2 s for what lasts for some 50 ms only; raises CannotRun."""
+    end_s = time.monotonic() + 2.0
+    while not condition():
+        if time.monotonic() > end_s:
+            raise CannotRun(f"not seen: {what}")
+        time.sleep(0.003)
+
+
 def make_config(version, routes, services, limits=None):
     """Returns a configuration, as the operator writes it."""
     return {
--- a/review/lib-3/instance.py
+++ b/review/lib-3/instance.py
@@ -4,8 +4,9 @@
 the control address, serves requests, and appends what it does to the journal,
 one JSON object a line.
 
-Signals: SIGUSR1 makes it report `draining` at once (it serves on), SIGTERM
-makes it deregister, and exit a little later than the acknowledgement asks.
+Signals: SIGUSR1 makes it report `draining` at once (it serves on); SIGTERM makes
+it deregister and exit; from SIGUSR2 on and for `unframed_s`, each `unframed_every`th
+of its answers has no length and ends with its connection.
 """
 
 import http.client
@@ -34,8 +35,10 @@
         self.work_s = options.get("work_ms", 100) / 1000
         self.sharded = options.get("sharded", False)
         self.body_bytes = options.get("body_bytes", 600)
-        # `length` or `unframed`: with a length, or until the connection ends.
-        self.framing = options.get("framing", "length")
+        self.unframed_every = options.get("unframed_every", 20)
+        self.unframed_s = options.get("unframed_s", 5.0)
+        self.unframed_from_s = None
+        self.counted = 0
         # Between the two halves of an answer.
         self.pause_s = options.get("pause_ms", 0) / 1000
         self.clock_factor = options.get("clock_factor", 1.0)
@@ -131,6 +134,16 @@
         return None
 
 
+def is_unframed(instance):
+    """Returns whether the next answer has no length; called once for each."""
+    with instance.lock:
+        began_s = instance.unframed_from_s
+        if began_s is None or time.monotonic() > began_s + instance.unframed_s:
+            return False
+        instance.counted += 1
+        return instance.counted % instance.unframed_every == 0
+
+
 def signature(request_id, body):
     """Returns the signature of an answer."""
     return f"{request_id}.{len(body):x}.{zlib.crc32(body):x}"
@@ -189,8 +202,10 @@
                     ),
                 )
                 return
+            unframed = is_unframed(instance)
             instance.record(
                 "run",
+                unframed=unframed,
                 request=request_id,
                 method=self.command,
                 target=self.path,
@@ -204,9 +219,9 @@
                 with instance.lock:
                     instance.running -= 1
                     instance.ended.notify_all()
-            self.answer(request_id)
+            self.answer(request_id, unframed)
 
-        def answer(self, request_id):
+        def answer(self, request_id, unframed):
             answer = make_body(request_id, instance.body_bytes)
             half = len(answer) // 2
             self.send_response_only(200)
@@ -214,13 +229,15 @@
             self.send_header(
                 "Waxwinglever-Response-Signature", signature(request_id, answer)
             )
-            if instance.framing == "length":
-                self.send_header("Content-Length", str(len(answer)))
-            else:
+            if unframed:
                 self.close_connection = True
+            else:
+                self.send_header("Content-Length", str(len(answer)))
             self.end_headers()
             self.wfile.write(answer[:half])
-            instance.record("half", request=request_id, bytes=half)
+            instance.record(
+                "half", request=request_id, bytes=half, unframed=unframed
+            )
             time.sleep(instance.pause_s)
             self.wfile.write(answer[half:])
             instance.record("answered", request=request_id, bytes=len(answer))
@@ -288,7 +305,16 @@
         instance.state = "draining"
         wake.set()
 
+    def leave(*_):
+        instance.state = "leaving"
+        wake.set()
+
+    def leave_out_lengths(*_):
+        instance.unframed_from_s = time.monotonic()
+
     signal.signal(signal.SIGUSR1, drain)
+    signal.signal(signal.SIGTERM, leave)
+    signal.signal(signal.SIGUSR2, leave_out_lengths)
 
     class Server(http.server.ThreadingHTTPServer):
         daemon_threads = True
@@ -298,6 +324,9 @@
     threading.Thread(target=server.serve_forever, daemon=True).start()
     instance.record("started", pid=os.getpid())
     while True:
+        if instance.state == "leaving":
+            tell(instance, "deregister", {"born": instance.born})
+            os._exit(0)
         heartbeat(instance)
         wake.wait(instance.heartbeat_s)
         wake.clear()
